--- a/cmd/kingcupvalved/main.go
+++ b/cmd/kingcupvalved/main.go
@@ -8,12 +8,15 @@
 	"os"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"kingcupvalve.example/kingcupvalve/internal/conductor"
 	"kingcupvalve.example/kingcupvalve/internal/logger"
 	"kingcupvalve.example/kingcupvalve/internal/parser"
 	"kingcupvalve.example/kingcupvalve/internal/supervisor"
 	"kingcupvalve.example/kingcupvalve/internal/validator"
+	"kingcupvalve.example/kingcupvalve/platform"
 )
 
 // A repeating fault writes at most faultBurst lines in each faultPeriod. The
@@ -58,7 +61,7 @@
 		return err
 	}
 	faults := logger.NewFaultLog(log, faultBurst, faultPeriod)
-	s, err := supervisor.NewSupervisor(settings, faults.Logger())
+	r, err := newRunner(ctx, settings, faults.Logger())
 	if err != nil {
 		return err
 	}
@@ -68,8 +71,22 @@
 		defer close(flushed)
 		faults.Run(ctx)
 	}()
-	err = s.Run(ctx)
+	err = r.Run(ctx)
 	cancel()
 	<-flushed
 	return err
 }
+
+// runner is a process of either way of serving.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+func newRunner(ctx context.Context, settings *parser.Settings, log zerolog.Logger) (runner, error) {
+	if !settings.ServesPackets() {
+		return supervisor.NewSupervisor(settings, log)
+	}
+	return conductor.NewConductor(ctx, settings, conductor.Platform{
+		Source: platform.NewStore(settings.PlatformURL(), log).Source(), Codec: platform.NewCodec(), ReadyPath: platform.ReadyPath,
+	}, log)
+}
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,292 @@
+// Package conductor builds and runs one process that serves packet flows: a
+// balancer or an agent.
+//
+// One goroutine holds the control state (the follower's table and, from its
+// ticks, beacons and flow expiry); others read sockets. SIGTERM starts a
+// planned stop, in which the process refuses readiness and goes on serving
+// until the drain deadline.
+//
+// # Usage
+//
+//	c, err := conductor.NewConductor(ctx, settings, conductor.Platform{Source: source, Codec: codec, ReadyPath: path}, log)
+//	err = c.Run(ctx)
+package conductor
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupvalve.example/kingcupvalve/internal/cataloger"
+	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/deliverer"
+	"kingcupvalve.example/kingcupvalve/internal/follower"
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/messenger"
+	"kingcupvalve.example/kingcupvalve/internal/meter"
+	"kingcupvalve.example/kingcupvalve/internal/parser"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/signaller"
+	"kingcupvalve.example/kingcupvalve/internal/steerer"
+	"kingcupvalve.example/kingcupvalve/internal/tracker"
+	"kingcupvalve.example/kingcupvalve/internal/wirepb"
+)
+
+const (
+	// tickInterval is the resolution of beacons and of flow expiry.
+	tickInterval = 50 * time.Millisecond
+	// stopMargin is kept between the end of a planned stop and the deadline at
+	// which the process is killed.
+	stopMargin = 500 * time.Millisecond
+	// agentStop lets requests that run at a leaving agent finish. Its flows
+	// wait for the next process, so it is short.
+	agentStop = 300 * time.Millisecond
+)
+
+// Platform is what a process needs of the platform.
+type Platform struct {
+	Source    follower.Source
+	Codec     framer.Codec
+	ReadyPath string
+}
+
+// Conductor runs one process.
+type Conductor struct {
+	settings    *parser.Settings
+	platform    Platform
+	logger      zerolog.Logger
+	incarnation uint64
+	messenger   *messenger.Messenger
+	signaller   *signaller.Signaller
+	follower    *follower.Follower
+	chooser     *chooser.Chooser
+	tracker     *tracker.Tracker
+	steerer     *steerer.Steerer
+	deliverer   *deliverer.Deliverer
+	isLeaving   atomic.Bool
+	self        atomic.Uint32
+}
+
+// NewConductor binds the sockets of a process.
+func NewConductor(ctx context.Context, settings *parser.Settings, platform Platform, logger zerolog.Logger) (*Conductor, error) {
+	c := &Conductor{settings: settings, platform: platform, logger: logger, incarnation: rand.Uint64(), tracker: tracker.NewTracker(tracker.Options{})}
+	var err error
+	if c.messenger, err = messenger.NewMessenger(messenger.Options{
+		Address: settings.ControlAddress(), IsPlain: true, Logger: logger,
+		Hello: func() *wirepb.Hello {
+			return &wirepb.Hello{Process: settings.Process(), Incarnation: c.incarnation, Role: settings.Role(), AvailabilityZone: settings.AvailabilityZone()}
+		},
+	}); err != nil {
+		return nil, merry.Prepend(err, "start process")
+	}
+	if c.signaller, err = signaller.NewSignaller(ctx, signaller.Options{
+		Address: settings.ControlAddress(), Describe: c.describe, Hint: c.takeHint, Logger: logger,
+	}); err != nil {
+		return nil, merry.Prepend(err, "start process")
+	}
+	c.chooser = chooser.NewChooser(c.signaller.IsDown, c.report)
+	c.follower = follower.NewFollower(follower.Options{
+		Source: platform.Source, Pull: c.pull, Peers: c.peers, Seeds: c.seeds(), IsReader: c.isReader, Logger: logger,
+	})
+	c.follower.Subscribe(c.takeTable)
+	c.messenger.Handle(messenger.LaneControl, c.follower.Serve)
+	if settings.Role() == cataloger.RoleBalancer {
+		err = c.buildSteerer(ctx)
+	} else {
+		err = c.buildDeliverer(ctx)
+	}
+	return c, merry.Prepend(err, "start process")
+}
+
+func (c *Conductor) buildSteerer(ctx context.Context) (err error) {
+	c.steerer, err = steerer.NewSteerer(ctx, steerer.Options{
+		Address: c.settings.Packets().Address(), Codec: c.platform.Codec, Table: c.follower.Table, TableAge: c.follower.Age,
+		Chooser: c.chooser, IsDown: c.signaller.IsDown, Logger: c.logger,
+	})
+	return err
+}
+
+func (c *Conductor) buildDeliverer(ctx context.Context) (err error) {
+	p := c.settings.Packets()
+	c.deliverer, err = deliverer.NewDeliverer(ctx, deliverer.Options{
+		Address: p.Address(), Outbound: p.OutboundAddress(), Backend: p.BackendAddress(), Service: p.Service(),
+		Codec: c.platform.Codec, Table: c.follower.Table, Chooser: c.chooser, Tracker: c.tracker, Hint: c.signaller.SendHint,
+		Logger: c.logger,
+	})
+	return err
+}
+
+// seeds returns the processes to ask for a first table. All processes use the
+// same port between each other.
+func (c *Conductor) seeds() []netip.Addr {
+	var seeds []netip.Addr
+	for _, s := range c.settings.Seeds() {
+		if s.Addr() != c.settings.ControlAddress().Addr() {
+			seeds = append(seeds, s.Addr())
+		}
+	}
+	return seeds
+}
+
+// Run runs the process until it is stopped or a part fails.
+func (c *Conductor) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	c.logger.Info().Uint64("incarnation", c.incarnation).Msg("process starts")
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.messenger.Run(ctx) })
+	group.Go(c.signaller.Receive)
+	group.Go(func() error {
+		c.follower.Run(ctx)
+		return nil
+	})
+	group.Go(func() error { return c.serveHTTP(ctx) })
+	group.Go(func() error {
+		c.tick(ctx)
+		return nil
+	})
+	if c.steerer != nil {
+		group.Go(c.steerer.Run)
+	} else {
+		group.Go(c.deliverer.Run)
+	}
+	group.Go(func() error {
+		defer cancel()
+		c.awaitStop(ctx, signals)
+		return c.close()
+	})
+	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (c *Conductor) close() error {
+	err := c.signaller.Close()
+	if c.steerer != nil {
+		return errors.Join(err, c.steerer.Close())
+	}
+	return errors.Join(err, c.deliverer.Close())
+}
+
+// awaitStop returns after a planned stop or the end of the context.
+func (c *Conductor) awaitStop(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				c.logger.Info().Msg("settings reload asked for")
+				continue
+			}
+			c.leave(ctx)
+			return
+		}
+	}
+}
+
+func (c *Conductor) leave(ctx context.Context) {
+	c.isLeaving.Store(true)
+	wait := c.settings.DrainDeadline() - stopMargin
+	if c.deliverer != nil {
+		c.deliverer.Leave()
+		wait = min(wait, agentStop)
+	}
+	c.logger.Info().Dur("duration", wait).Msg("process leaves")
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	c.logger.Info().Msg("process stops")
+}
+
+// tick sends beacons and expires flows.
+func (c *Conductor) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			c.signaller.Tick(now)
+			if c.deliverer != nil {
+				c.tracker.Tick(now, 0)
+			}
+		}
+	}
+}
+
+// serveHTTP answers readiness checks and serves metrics.
+func (c *Conductor) serveHTTP(ctx context.Context) error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+c.platform.ReadyPath, c.serveReady)
+	var group errgroup.Group
+	group.Go(func() error { return serve(ctx, c.settings.Packets().ReadyAddress(), ready) })
+	if address := c.settings.Packets().MetricsAddress(); address.IsValid() {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", meter.Handler())
+		group.Go(func() error { return serve(ctx, address, mux) })
+	}
+	return group.Wait()
+}
+
+func serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return merry.Prepend(err, "listen for http")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return merry.Prepend(err, "serve http")
+	}
+	return nil
+}
+
+func (c *Conductor) serveReady(w http.ResponseWriter, _ *http.Request) {
+	isReady := !c.isLeaving.Load()
+	select {
+	case <-c.follower.Ready():
+	default:
+		isReady = false
+	}
+	if !isReady {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// takeTable follows the set of agents.
+func (c *Conductor) takeTable(t *router.Table) {
+	agents := make(map[uint32]netip.Addr)
+	own := c.settings.ControlAddress().Addr()
+	t.Targets(func(n uint32, target *router.Target) {
+		if target.State != router.Gone && target.Address.Addr() != own {
+			agents[n] = target.Address.Addr()
+		}
+	})
+	c.signaller.SetAgents(agents)
+	if c.deliverer != nil {
+		n, _, _ := t.TargetAt(c.settings.Packets().BackendAddress())
+		c.self.Store(n)
+	}
+}
--- /dev/null
+++ b/internal/deliverer/deliverer.go
@@ -0,0 +1,247 @@
+// Package deliverer is the data path of an agent for packet flows: it hands
+// packets to the target beside it, sends the target's packets to callers, and
+// passes on what its target can't or shouldn't take.
+//
+// # Usage
+//
+//	d, err := deliverer.NewDeliverer(ctx, deliverer.Options{Address: address, Outbound: outbound, Backend: app, ...})
+//	err = d.Run()
+package deliverer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupvalve.example/kingcupvalve/internal/batcher"
+	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/tracker"
+)
+
+const (
+	// batchSize is the number of datagrams read at a time.
+	batchSize = 32
+	// datagramSize is above the largest packet in bytes.
+	datagramSize = 2048
+	// maxHops ends a packet that travels in a loop, which tables that change
+	// under way can cause.
+	maxHops = 250
+)
+
+var (
+	delivered = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
+	answered  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
+	returned  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
+	passedOn  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
+	malformed = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
+	unrouted  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
+	exhausted = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
+)
+
+// Options configures a Deliverer.
+type Options struct {
+	// Address is the UDP address that balancers and agents send to.
+	Address netip.AddrPort
+	// Outbound is the UDP address that the target sends to.
+	Outbound netip.AddrPort
+	// Backend is the UDP address of the target.
+	Backend netip.AddrPort
+	// Service is the service of the target.
+	Service string
+	Codec   framer.Codec
+	Table   func() *router.Table
+	Chooser *chooser.Chooser
+	Tracker *tracker.Tracker
+	// Hint tells a balancer that the own target holds a flow.
+	Hint   func(balancer netip.Addr, flow uint64, target uint32)
+	Logger zerolog.Logger
+}
+
+// Deliverer holds the sockets.
+type Deliverer struct {
+	options   Options
+	conn      *batcher.Conn
+	outbound  *batcher.Conn
+	isLeaving atomic.Bool
+}
+
+// NewDeliverer binds the sockets.
+func NewDeliverer(ctx context.Context, options Options) (*Deliverer, error) {
+	conn, err := batcher.Listen(ctx, options.Address)
+	if err != nil {
+		return nil, merry.Prepend(err, "start deliverer")
+	}
+	outbound, err := batcher.Listen(ctx, options.Outbound)
+	if err != nil {
+		_ = conn.Close()
+		return nil, merry.Prepend(err, "start deliverer")
+	}
+	return &Deliverer{options: options, conn: conn, outbound: outbound}, nil
+}
+
+// Leave passes new flows on from now on.
+func (d *Deliverer) Leave() { d.isLeaving.Store(true) }
+
+// Close ends Run.
+func (d *Deliverer) Close() error { return errors.Join(d.conn.Close(), d.outbound.Close()) }
+
+// Run handles packets of both directions until the sockets are closed.
+func (d *Deliverer) Run() error {
+	var group errgroup.Group
+	group.Go(func() error { return d.serve(d.conn, d.deliver) })
+	group.Go(func() error { return d.serve(d.outbound, d.answer) })
+	return group.Wait()
+}
+
+func (d *Deliverer) serve(conn *batcher.Conn, handle func(datagram []byte, writer *batcher.Writer, now time.Time)) error {
+	pool := batcher.NewPool(batchSize, datagramSize, 0)
+	reader := conn.NewReader(pool)
+	for {
+		batch, err := reader.Read()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return merry.Prepend(err, "read packets")
+		}
+		now := time.Now()
+		writer := batch.Writer()
+		for i := range batch.Len() {
+			handle(batch.Payload(i), writer, now)
+		}
+		if failed, excess := writer.Flush(d.conn); failed+excess > 0 {
+			d.options.Logger.Warn().Int("failed", failed).Int("excess", excess).Msg("packets not sent")
+		}
+		pool.Put(batch)
+	}
+}
+
+// self returns the own target in a table.
+func (d *Deliverer) self(table *router.Table) (uint32, *router.Target, bool) {
+	number, target, ok := table.TargetAt(d.options.Backend)
+	if !ok || target.Service != d.options.Service {
+		return 0, nil, false
+	}
+	return number, target, true
+}
+
+// deliver handles a caller's packet from a balancer or another agent.
+func (d *Deliverer) deliver(datagram []byte, writer *batcher.Writer, now time.Time) {
+	p, ok := d.options.Codec.Decode(datagram)
+	if !ok {
+		malformed.Inc()
+		return
+	}
+	table := d.options.Table()
+	route, ok := table.Route(p.Destination)
+	if !ok {
+		unrouted.Inc()
+		return
+	}
+	if !route.Allows(d.options.Service) || p.Opens && !d.takesOpening(table, route, p, now) {
+		d.passOn(table, route, p, datagram, writer, "not taken")
+		return
+	}
+	d.options.Tracker.Delivered(p.Key(), p, now)
+	d.options.Codec.Mark(datagram, framer.Mark{Progress: p.Mark.Progress})
+	to := batcher.NewAddress(d.options.Backend)
+	writer.Add(datagram, &to)
+	delivered.Inc()
+}
+
+// takesOpening decides whether the own target gets a new flow. The agent knows
+// its load better than the process that sent the packet.
+func (d *Deliverer) takesOpening(table *router.Table, route *router.Route, p framer.Packet, now time.Time) bool {
+	key := p.Key()
+	if d.options.Tracker.Holds(key) {
+		return true
+	}
+	_, target, ok := d.self(table)
+	if d.isLeaving.Load() || ok && (target.State == router.Draining || target.State == router.Gone) {
+		return false
+	}
+	if route.ServiceOf(key) != d.options.Service {
+		return false
+	}
+	if !ok {
+		return true
+	}
+	load := d.options.Tracker.Load(now)
+	if load.IsSilent {
+		return d.options.Tracker.TryProbe(now)
+	}
+	report := chooser.Report{Running: load.Running, Slots: target.Slots}
+	if p.Mark.IsSecondPass() {
+		return report.HasRoom()
+	}
+	return report.HasFreeSlot()
+}
+
+// answer handles a packet from the own target.
+func (d *Deliverer) answer(datagram []byte, writer *batcher.Writer, now time.Time) {
+	p, ok := d.options.Codec.Decode(datagram)
+	if !ok {
+		malformed.Inc()
+		return
+	}
+	if p.Returned {
+		d.returnPacket(datagram, p, writer)
+		return
+	}
+	key := p.ReverseKey()
+	if via, ok := d.options.Tracker.Answered(key, p, now); ok {
+		if number, _, ok := d.self(d.options.Table()); ok {
+			d.options.Hint(via, key, number)
+		}
+	}
+	to := batcher.NewAddress(netip.AddrPortFrom(p.Destination.Addr(), d.options.Address.Port()))
+	writer.Add(datagram, &to)
+	answered.Inc()
+}
+
+// returnPacket continues the search for a packet that the target returned.
+func (d *Deliverer) returnPacket(datagram []byte, p framer.Packet, writer *batcher.Writer) {
+	returned.Inc()
+	before := d.options.Tracker.Returned(p.Key())
+	p.Mark.Via, p.Mark.Hops = before.Via, before.Hops
+	table := d.options.Table()
+	route, ok := table.Route(p.Destination)
+	if !ok {
+		unrouted.Inc()
+		return
+	}
+	d.passOn(table, route, p, datagram, writer, "returned")
+}
+
+// passOn sends a packet to the next target of its search.
+func (d *Deliverer) passOn(table *router.Table, route *router.Route, p framer.Packet, datagram []byte, writer *batcher.Writer, reason string) {
+	accept := d.options.Chooser.AcceptOpen()
+	key := p.Key()
+	if p.Opens {
+		accept = d.options.Chooser.AcceptOpening(route.ServiceOf(key))
+	}
+	self, _, _ := d.self(table)
+	others := func(n uint32, t *router.Target, second bool) bool { return n != self && accept(n, t, second) }
+	hop, ok := table.Search(route, key, p.Mark, others)
+	if !ok || p.Mark.Hops >= maxHops {
+		exhausted.Inc()
+		d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
+			Str("reason", reason).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Msg("no target left for packet")
+		return
+	}
+	hop.Mark.Hops++
+	d.options.Codec.Mark(datagram, hop.Mark)
+	to := batcher.NewAddress(netip.AddrPortFrom(hop.Target.Address.Addr(), d.options.Address.Port()))
+	writer.Add(datagram, &to)
+	passedOn.Inc()
+}
--- /dev/null
+++ b/internal/follower/exchange.go
@@ -0,0 +1,153 @@
+package follower
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"kingcupvalve.example/kingcupvalve/internal/messenger"
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/wirepb"
+)
+
+// itemsPerReply keeps a reply below the size limit of a message: a target takes
+// some 100 bytes, and a configuration of 1,000 routes some 100 KB.
+const itemsPerReply = 500
+
+// PullFrom fetches the changes after a revision from the process at an
+// address.
+func PullFrom(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, after uint64) (Batch, error) {
+	var batch Batch
+	stream, err := m.Open(ctx, address, messenger.LaneControl)
+	if err != nil {
+		return batch, merry.Prepend(err, "pull table")
+	}
+	defer func() { _ = stream.Close() }()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := stream.SetDeadline(deadline); err != nil {
+			return batch, merry.Prepend(err, "pull table")
+		}
+	}
+	request := &wirepb.TableRequest{AfterRevision: after}
+	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_TableRequest{TableRequest: request}}); err != nil {
+		return batch, merry.Prepend(err, "pull table")
+	}
+	for {
+		envelope, err := stream.Receive()
+		if err != nil {
+			return Batch{}, merry.Prepend(err, "pull table")
+		}
+		reply := envelope.GetTableReply()
+		if reply == nil {
+			return Batch{}, merry.Prepend(messenger.ErrProtocol, "pull table: another message came")
+		}
+		for _, item := range reply.GetItems() {
+			batch.Changes = append(batch.Changes, decodeItem(item))
+		}
+		if !reply.GetMore() {
+			batch.Revision = reply.GetRevision()
+			batch.ConfirmedAt = time.Now().Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond)
+			return batch, nil
+		}
+	}
+}
+
+// Serve answers the table requests of one stream.
+func (f *Follower) Serve(ctx context.Context, stream *messenger.Stream) {
+	for {
+		envelope, err := stream.Receive()
+		if err != nil {
+			return
+		}
+		request := envelope.GetTableRequest()
+		if request == nil {
+			return
+		}
+		batch, ok := f.Changes(ctx, request.GetAfterRevision())
+		if !ok {
+			return
+		}
+		if err := sendBatch(stream, batch); err != nil {
+			f.options.Logger.Warn().Err(err).Msg("table not sent")
+			return
+		}
+	}
+}
+
+func sendBatch(stream *messenger.Stream, batch Batch) error {
+	changes := batch.Changes
+	for {
+		n := min(len(changes), itemsPerReply)
+		reply := &wirepb.TableReply{
+			Revision: batch.Revision, More: n < len(changes),
+			ConfirmedAgeMs: uint32(max(0, time.Since(batch.ConfirmedAt).Milliseconds())),
+		}
+		for _, c := range changes[:n] {
+			reply.Items = append(reply.Items, encodeItem(c))
+		}
+		if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_TableReply{TableReply: reply}}); err != nil {
+			return err
+		}
+		if changes = changes[n:]; len(changes) == 0 {
+			return nil
+		}
+	}
+}
+
+func encodeItem(c registrar.Change) *wirepb.TableItem {
+	item := &wirepb.TableItem{Key: c.Key, Revision: c.Revision}
+	if c.Config != nil {
+		item.Config = &wirepb.RoutingConfig{Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds())}
+		for _, r := range c.Config.Routes {
+			entry := &wirepb.RouteEntry{Address: r.Address.String(), Name: r.Name, Kind: string(r.Kind)}
+			for _, s := range r.Shares {
+				entry.Shares = append(entry.Shares, &wirepb.RouteShare{Service: s.Service, Weight: s.Weight})
+			}
+			item.Config.Routes = append(item.Config.Routes, entry)
+		}
+	}
+	if t := c.Target; t != nil {
+		item.Target = &wirepb.TargetEntry{
+			Id: t.ID, Service: t.Service, Address: t.Address.String(), AvailabilityZone: t.Zone, Draining: t.State == router.Draining,
+			Slots: uint32(t.Slots), ColdLeftMs: uint32(t.ColdLeft.Milliseconds()), StartedMs: t.Started,
+		}
+	}
+	return item
+}
+
+// decodeItem returns a change. An address that doesn't parse leaves the item
+// out of the table, as an unreadable item of the platform does.
+func decodeItem(item *wirepb.TableItem) registrar.Change {
+	change := registrar.Change{Key: item.GetKey(), Revision: item.GetRevision()}
+	if c := item.GetConfig(); c != nil {
+		change.Config = &router.Config{Version: c.GetVersion(), IdleTimeout: time.Duration(c.GetIdleTimeoutMs()) * time.Millisecond}
+		for _, r := range c.GetRoutes() {
+			address, err := netip.ParseAddrPort(r.GetAddress())
+			if err != nil {
+				continue
+			}
+			route := router.Route{Name: r.GetName(), Address: address, Kind: router.Kind(r.GetKind())}
+			for _, s := range r.GetShares() {
+				route.Shares = append(route.Shares, router.Share{Service: s.GetService(), Weight: s.GetWeight()})
+			}
+			change.Config.Routes = append(change.Config.Routes, route)
+		}
+	}
+	if t := item.GetTarget(); t != nil {
+		address, err := netip.ParseAddrPort(t.GetAddress())
+		if err != nil {
+			return change
+		}
+		change.Target = &router.Target{
+			ID: t.GetId(), Service: t.GetService(), Address: address, Zone: t.GetAvailabilityZone(), Slots: int(t.GetSlots()),
+			ColdLeft: time.Duration(t.GetColdLeftMs()) * time.Millisecond, Started: t.GetStartedMs(), Revision: item.GetRevision(),
+		}
+		if t.GetDraining() {
+			change.Target.State = router.Draining
+		}
+	}
+	return change
+}
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,245 @@
+package follower
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
+
+const (
+	// tickInterval is the resolution of the control state.
+	tickInterval = 50 * time.Millisecond
+	// staleAfter leaves more than half of the 3 s in which a change must be in
+	// force for a read of the platform. A watch ends after watchWait without
+	// changes, and beacons take up to 300 ms.
+	staleAfter = 1800 * time.Millisecond
+	// pullTimeout bounds a fetch from a peer.
+	pullTimeout = 700 * time.Millisecond
+	// pullPause follows a failed fetch from a peer.
+	pullPause = 300 * time.Millisecond
+)
+
+// Options configures a Follower.
+type Options struct {
+	Source Source
+	// Pull fetches the changes after a revision from a peer.
+	Pull func(ctx context.Context, peer netip.Addr, after uint64) (Batch, error)
+	// Peers returns the processes heard of.
+	Peers func() []Peer
+	// Seeds are processes to ask for a table before the platform has answered.
+	Seeds []netip.Addr
+	// IsReader reports whether this process is one of those that watch the
+	// platform.
+	IsReader func(t *router.Table) bool
+	Logger   zerolog.Logger
+}
+
+// Follower holds the table. Table, Age and Changes are safe for concurrent
+// use.
+type Follower struct {
+	options     Options
+	registrar   *registrar.Registrar
+	table       atomic.Pointer[router.Table]
+	confirmedAt atomic.Int64 // ns after start
+	start       time.Time
+	ready       chan struct{}
+	results     chan result
+	requests    chan request
+	wanted      atomic.Bool
+	wake        chan struct{}
+	revision    atomic.Uint64
+	pulling     bool
+	pullAfter   time.Time
+	seeded      int
+	listeners   []func(t *router.Table)
+	lastTick    time.Time
+	isReading   bool
+}
+
+type result struct {
+	batch  Batch
+	err    error
+	source string
+	peer   netip.Addr
+}
+
+type request struct {
+	after uint64
+	reply chan Batch
+}
+
+// NewFollower returns a follower without a table.
+func NewFollower(options Options) *Follower {
+	f := &Follower{
+		options: options, registrar: registrar.NewRegistrar(), start: time.Now(), ready: make(chan struct{}),
+		results: make(chan result, 4), requests: make(chan request), wake: make(chan struct{}, 1),
+	}
+	f.table.Store(router.NewTable(router.Config{}, nil, 0))
+	f.wanted.Store(true)
+	return f
+}
+
+// Subscribe calls a function with each new table, in the goroutine of Run. It
+// is called before Run.
+func (f *Follower) Subscribe(listener func(t *router.Table)) {
+	f.listeners = append(f.listeners, listener)
+}
+
+// Ready is closed when the first table is known.
+func (f *Follower) Ready() <-chan struct{} { return f.ready }
+
+// Table returns the table in force.
+func (f *Follower) Table() *router.Table { return f.table.Load() }
+
+// Revision returns the revision that the table is complete up to.
+func (f *Follower) Revision() uint64 { return f.revision.Load() }
+
+// Age returns the time since the table was last known to be current.
+func (f *Follower) Age(now time.Time) time.Duration {
+	return now.Sub(f.start) - time.Duration(f.confirmedAt.Load())
+}
+
+// Changes returns the changes after a revision for a peer.
+func (f *Follower) Changes(ctx context.Context, after uint64) (Batch, bool) {
+	r := request{after: after, reply: make(chan Batch, 1)}
+	select {
+	case f.requests <- r:
+		return <-r.reply, true
+	case <-ctx.Done():
+		return Batch{}, false
+	}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.read(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-f.results:
+			f.take(r, time.Now())
+		case r := <-f.requests:
+			r.reply <- Batch{Changes: f.registrar.Changes(r.after), Revision: f.registrar.Revision(), ConfirmedAt: f.confirmedTime()}
+		case now := <-ticker.C:
+			f.tick(ctx, now)
+		}
+	}
+}
+
+func (f *Follower) confirmedTime() time.Time { return f.start.Add(time.Duration(f.confirmedAt.Load())) }
+
+func (f *Follower) take(r result, now time.Time) {
+	if r.peer.IsValid() {
+		f.pulling = false
+	}
+	if r.err != nil {
+		if r.peer.IsValid() {
+			f.pullAfter = now.Add(pullPause)
+		}
+		f.options.Logger.Warn().Err(r.err).Str("source", r.source).Dur("table_age", f.Age(now)).Msg("table not read")
+		return
+	}
+	before := f.registrar.Revision()
+	if r.batch.Revision < before && !r.batch.IsWhole {
+		return
+	}
+	var changed bool
+	if r.batch.IsWhole {
+		changed = f.registrar.MergeAll(r.batch.Changes, r.batch.Revision, now)
+	} else {
+		changed = f.registrar.Merge(r.batch.Changes, r.batch.Revision, now)
+	}
+	f.revision.Store(f.registrar.Revision())
+	if r.batch.Revision >= f.registrar.Revision() {
+		f.confirm(r.batch.ConfirmedAt)
+	}
+	if changed {
+		f.publish(now)
+		f.options.Logger.Info().Str("source", r.source).Uint64("revision", f.registrar.Revision()).
+			Uint64("version", f.Table().Version()).Int("changes", len(r.batch.Changes)).Msg("table updated")
+	}
+}
+
+func (f *Follower) confirm(at time.Time) {
+	if ns := int64(at.Sub(f.start)); ns > f.confirmedAt.Load() {
+		f.confirmedAt.Store(ns)
+	}
+}
+
+func (f *Follower) publish(now time.Time) {
+	t := f.registrar.Table(now)
+	f.table.Store(t)
+	for _, listener := range f.listeners {
+		listener(t)
+	}
+	if f.registrar.HasConfig() {
+		select {
+		case <-f.ready:
+		default:
+			close(f.ready)
+		}
+	}
+}
+
+func (f *Follower) tick(ctx context.Context, now time.Time) {
+	if f.registrar.Expire(f.lastTick, now) {
+		f.publish(now)
+	}
+	f.lastTick = now
+	f.consultPeers(ctx, now)
+	reads := !f.registrar.HasConfig() || f.Age(now) > staleAfter || f.options.IsReader(f.Table())
+	if reads != f.isReading {
+		f.isReading = reads
+		f.options.Logger.Info().Bool("reads", reads).Dur("table_age", f.Age(now)).Msg("reading of the platform changed")
+	}
+	f.wanted.Store(reads)
+	if reads {
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// consultPeers takes over what beacons say of peers' tables and fetches a
+// newer one.
+func (f *Follower) consultPeers(ctx context.Context, now time.Time) {
+	var newest Peer
+	for _, p := range f.options.Peers() {
+		if p.Revision == f.registrar.Revision() && f.registrar.HasConfig() {
+			f.confirm(p.ConfirmedAt)
+		}
+		if p.Revision > newest.Revision {
+			newest = p
+		}
+	}
+	if f.pulling || now.Before(f.pullAfter) {
+		return
+	}
+	if newest.Revision > f.registrar.Revision() {
+		f.pull(ctx, newest.Address)
+	} else if !f.registrar.HasConfig() && len(f.options.Seeds) > 0 {
+		f.seeded++
+		f.pull(ctx, f.options.Seeds[f.seeded%len(f.options.Seeds)])
+	}
+}
+
+func (f *Follower) pull(ctx context.Context, peer netip.Addr) {
+	f.pulling = true
+	after := f.registrar.Revision()
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+		defer cancel()
+		batch, err := f.options.Pull(ctx, peer, after)
+		f.results <- result{batch: batch, err: err, source: "peer " + peer.String(), peer: peer}
+	}()
+}
--- /dev/null
+++ b/internal/follower/read.go
@@ -0,0 +1,82 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// watchWait is the time after which a watch without changes returns. It
+	// shows within a second that a channel has gone silent.
+	watchWait = time.Second
+	// answerTime is the time that the platform may take beyond the wait.
+	answerTime = 700 * time.Millisecond
+	// readTimeout bounds a read of everything, which may take several pages.
+	readTimeout = 2 * time.Second
+	// batchPause lets changes that come in quick succession share one call.
+	batchPause = 300 * time.Millisecond
+	// firstPause and lastPause bound the wait after a failed call.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+	// sourcePlatform names the platform in logs.
+	sourcePlatform = "platform"
+)
+
+// read watches the platform whenever the control state asks for it.
+func (f *Follower) read(ctx context.Context) {
+	pause := firstPause
+	whole := true
+	for {
+		if !f.wanted.Load() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-f.wake:
+				continue
+			}
+		}
+		batch, err := f.readOnce(ctx, whole || f.revision.Load() == 0)
+		whole = errors.Is(err, ErrCompacted)
+		wait := batchPause
+		switch {
+		case whole:
+			wait = 0
+		case err != nil:
+			wait = time.Duration(float64(pause) * (0.5 + rand.Float64()))
+			pause = min(2*pause, lastPause)
+		default:
+			pause = firstPause
+			if len(batch.Changes) == 0 {
+				wait = 0
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case f.results <- result{batch: batch, err: err, source: sourcePlatform}:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+func (f *Follower) readOnce(ctx context.Context, whole bool) (Batch, error) {
+	sent := time.Now()
+	if whole {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		batch, err := f.options.Source.Read(ctx)
+		batch.IsWhole, batch.ConfirmedAt = true, sent
+		return batch, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTime)
+	defer cancel()
+	batch, err := f.options.Source.Watch(ctx, f.revision.Load(), watchWait)
+	batch.ConfirmedAt = time.Now()
+	return batch, err
+}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -129,8 +128,8 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "dial peer")
 	}
-	conn := tls.Client(raw, m.options.clientTLS(key.address))
-	if err := conn.HandshakeContext(ctx); err != nil {
+	conn, err := m.options.secureClient(ctx, raw, key.address)
+	if err != nil {
 		raw.Close()
 		return nil, merry.Prepend(err, "handshake with peer")
 	}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/netip"
@@ -212,8 +211,8 @@
 	logger := m.options.Logger.With().Stringer("address", raw.RemoteAddr()).Logger()
 	handshake, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn := tls.Server(raw, m.options.serverTLS())
-	if err := conn.HandshakeContext(handshake); err != nil {
+	conn, err := m.options.secureServer(handshake, raw)
+	if err != nil {
 		sessionsRefused.Inc()
 		raw.Close()
 		logger.Warn().Err(err).Msg("peer handshake failed")
--- a/internal/messenger/options.go
+++ b/internal/messenger/options.go
@@ -77,6 +77,9 @@
 	// checked against (RootCAs for both directions unless ClientCAs is set).
 	// When ServerName is empty, a peer's certificate must name its IP address.
 	TLS *tls.Config
+	// IsPlain leaves TLS out, for fleets without keys whose network admits
+	// nobody else. TLS is then unused.
+	IsPlain bool
 	// Hello describes this process. Protocol version and lane are filled in.
 	Hello func() *wirepb.Hello
 	// Dial opens a TCP connection; nil uses the net package.
@@ -100,7 +103,7 @@
 }
 
 func (o Options) withDefaults() (Options, error) {
-	if o.TLS == nil || o.Hello == nil {
+	if o.TLS == nil && !o.IsPlain || o.Hello == nil {
 		return o, merry.New("check messenger options: TLS and Hello are needed")
 	}
 	if o.Dial == nil {
@@ -127,6 +130,24 @@
 	}
 }
 
+// secureServer returns an accepted connection once its peer is authenticated.
+func (o Options) secureServer(ctx context.Context, raw net.Conn) (net.Conn, error) {
+	if o.IsPlain {
+		return raw, nil
+	}
+	conn := tls.Server(raw, o.serverTLS())
+	return conn, conn.HandshakeContext(ctx)
+}
+
+// secureClient returns a dialed connection once its peer is authenticated.
+func (o Options) secureClient(ctx context.Context, raw net.Conn, address netip.AddrPort) (net.Conn, error) {
+	if o.IsPlain {
+		return raw, nil
+	}
+	conn := tls.Client(raw, o.clientTLS(address))
+	return conn, conn.HandshakeContext(ctx)
+}
+
 func (o Options) serverTLS() *tls.Config {
 	c := o.TLS.Clone()
 	c.MinVersion = tls.VersionTLS13
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -43,6 +43,7 @@
 	TunnelMTU        int              `yaml:"tunnel_mtu"`
 	Balancer         balancerDocument `yaml:"balancer"`
 	Agent            agentDocument    `yaml:"agent"`
+	Packets          packetsDocument  `yaml:"packets"`
 }
 
 type secretDocument struct {
--- /dev/null
+++ b/internal/router/table.go
@@ -0,0 +1,144 @@
+package router
+
+import (
+	"math"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/selector"
+)
+
+// targetWeight is the weight of every target in the order, which ignores it.
+const targetWeight = 1
+
+// Table is an immutable routing table. It is safe for concurrent use.
+type Table struct {
+	version  uint64
+	revision uint64
+	routes   map[netip.AddrPort]*Route
+	targets  map[uint32]*Target
+	orders   map[string]*selector.Table
+}
+
+// NewTable returns a table of a configuration and targets.
+func NewTable(config Config, targets []Target, revision uint64) *Table {
+	t := &Table{
+		version: config.Version, revision: revision, routes: make(map[netip.AddrPort]*Route, len(config.Routes)),
+		targets: make(map[uint32]*Target, len(targets)), orders: make(map[string]*selector.Table),
+	}
+	for i := range config.Routes {
+		t.routes[config.Routes[i].Address] = &config.Routes[i]
+	}
+	entries := make(map[string][]selector.Entry)
+	for i := range targets {
+		n := targets[i].Number()
+		t.targets[n] = &targets[i]
+		entries[targets[i].Service] = append(entries[targets[i].Service], selector.NewEntry(n, targetWeight))
+	}
+	for service, e := range entries {
+		t.orders[service] = selector.NewTable(revision, e)
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() uint64 { return t.version }
+
+// Revision returns the revision up to which the table is complete.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Route returns the route of a published address.
+func (t *Table) Route(address netip.AddrPort) (*Route, bool) {
+	r, ok := t.routes[address]
+	return r, ok
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return len(t.routes) }
+
+// Target returns the target of a number.
+func (t *Table) Target(number uint32) (*Target, bool) {
+	target, ok := t.targets[number]
+	return target, ok
+}
+
+// Targets calls visit for each target in no particular order.
+func (t *Table) Targets(visit func(number uint32, target *Target)) {
+	for n, target := range t.targets {
+		visit(n, target)
+	}
+}
+
+// TargetAt returns the target of a service at an address. Of several, the one
+// that the platform wrote last counts.
+func (t *Table) TargetAt(address netip.AddrPort) (uint32, *Target, bool) {
+	var number uint32
+	var latest *Target
+	for n, target := range t.targets {
+		if target.Address == address && (latest == nil || target.Revision > latest.Revision) {
+			number, latest = n, target
+		}
+	}
+	return number, latest, latest != nil
+}
+
+// Hop is a step of a search.
+type Hop struct {
+	Number uint32
+	Target *Target
+	Mark   framer.Mark
+}
+
+// Accept decides whether a pass of a search visits a target.
+type Accept func(number uint32, target *Target, secondPass bool) bool
+
+// Search returns the next target for a packet of a flow, or false when the
+// search has come to its end.
+func (t *Table) Search(route *Route, key uint64, mark framer.Mark, accept Accept) (Hop, bool) {
+	rank, second := mark.Rank(), mark.IsSecondPass()
+	for {
+		if hop, ok := t.searchPass(route, key, rank, second, accept); ok {
+			hop.Mark.Via, hop.Mark.Hops = mark.Via, mark.Hops
+			return hop, true
+		}
+		if second {
+			return Hop{}, false
+		}
+		rank, second = selector.StartRank, true
+	}
+}
+
+func (t *Table) searchPass(route *Route, key uint64, below uint32, second bool, accept Accept) (Hop, bool) {
+	var best Hop
+	found, highest := false, uint32(0)
+	for _, s := range route.Shares {
+		order := t.orders[s.Service]
+		if order == nil {
+			continue
+		}
+		number, rank, ok := order.Next(key, below, func(n uint32) bool { return accept(n, t.targets[n], second) })
+		if ok && (!found || rank > highest) {
+			best, found, highest = Hop{Number: number, Target: t.targets[number]}, true, rank
+		}
+	}
+	best.Mark.Progress = framer.NewProgress(highest, second)
+	return best, found
+}
+
+// ServiceOf returns the service that gets a new flow of a route. A change of
+// the weights moves as few keys as possible.
+func (r *Route) ServiceOf(key uint64) string {
+	best, highest := "", math.Inf(-1)
+	for _, s := range r.Shares {
+		if s.Weight == 0 {
+			continue
+		}
+		uniform := (float64((xxhash.Sum64String(s.Service)^key)*0x9e3779b97f4a7c15>>11) + 0.5) / (1 << 53)
+		if score := math.Log(uniform) / float64(s.Weight); score > highest {
+			best, highest = s.Service, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/signaller/signaller.go
@@ -0,0 +1,246 @@
+// Package signaller exchanges beacons and flow hints between processes, one
+// datagram each, and keeps what the beacons say: which agents live, how loaded
+// their targets are and how new the tables of other processes are.
+//
+// Every process asks every agent of its table for a beacon at a fixed interval,
+// so that agents learn of balancers and of each other. Lost datagrams and lost
+// state cost an interval.
+//
+// # Usage
+//
+//	s, err := signaller.NewSignaller(ctx, signaller.Options{Address: address, Describe: describe})
+//	go s.Receive()
+//	s.SetAgents(agents)
+//	s.Tick(now) // from the goroutine of the control state
+package signaller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupvalve.example/kingcupvalve/detector"
+	"kingcupvalve.example/kingcupvalve/internal/wirepb"
+)
+
+const (
+	// beaconInterval is the time between two beacons to one agent.
+	beaconInterval = 250 * time.Millisecond
+	// unansweredAfter, probeInterval and probeLimit take an agent down 550 ms
+	// after the first beacon that it leaves unanswered.
+	unansweredAfter = 250 * time.Millisecond
+	probeInterval   = 100 * time.Millisecond
+	probeLimit      = 3
+	downInterval    = 500 * time.Millisecond
+	// peerTimeout forgets processes that are silent.
+	peerTimeout = 10 * time.Second
+	// maxDatagram is above the size of every signal in bytes.
+	maxDatagram = 1500
+)
+
+// Options configures a Signaller.
+type Options struct {
+	// Address is the UDP address to bind. All processes use its port.
+	Address netip.AddrPort
+	// Describe returns the beacon of this process.
+	Describe func(now time.Time) *wirepb.Beacon
+	// Hint takes a flow hint; nil ignores hints.
+	Hint   func(flow uint64, target uint32)
+	Logger zerolog.Logger
+}
+
+// Peer is what the last beacon of a process said.
+type Peer struct {
+	Address     netip.Addr
+	Process     string
+	Incarnation uint64
+	Target      uint32
+	Revision    uint64
+	ConfirmedAt time.Time
+	Running     int
+	Slots       int
+	Flows       int
+	IsLeaving   bool
+	IsSilent    bool
+	HeardAt     time.Time
+}
+
+// Signaller holds the socket and the peers. Peer, IsDown and SendHint are safe
+// for concurrent use; SetAgents and Tick belong to one goroutine.
+type Signaller struct {
+	options  Options
+	conn     *net.UDPConn
+	detector *detector.Detector
+	agents   map[uint32]netip.Addr
+	lastSent time.Time
+	lock     sync.RWMutex
+	peers    map[netip.Addr]Peer
+	targets  map[uint32]Peer
+}
+
+// NewSignaller binds the socket.
+func NewSignaller(ctx context.Context, options Options) (*Signaller, error) {
+	config := net.ListenConfig{}
+	packet, err := config.ListenPacket(ctx, "udp4", options.Address.String())
+	if err != nil {
+		return nil, merry.Prepend(err, "bind signal socket")
+	}
+	return &Signaller{
+		options: options, conn: packet.(*net.UDPConn),
+		detector: detector.NewDetector(detector.Options{
+			Epoch: time.Now(), UnansweredAfter: unansweredAfter, ProbeInterval: probeInterval, ProbeLimit: probeLimit,
+			DownInterval: downInterval,
+		}),
+		peers: make(map[netip.Addr]Peer), targets: make(map[uint32]Peer),
+	}, nil
+}
+
+// Close ends Receive.
+func (s *Signaller) Close() error { return s.conn.Close() }
+
+// SetAgents replaces the agents that beacons go to, by target number.
+func (s *Signaller) SetAgents(agents map[uint32]netip.Addr) {
+	numbers := make([]uint32, 0, len(agents))
+	for n := range agents {
+		numbers = append(numbers, n)
+	}
+	s.agents = agents
+	s.detector.SetTargets(numbers)
+}
+
+// IsDown reports whether the agent of a target does not answer.
+func (s *Signaller) IsDown(target uint32) bool { return s.detector.IsDown(target) }
+
+// Target returns the last beacon of the agent of a target.
+func (s *Signaller) Target(number uint32) (Peer, bool) {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	p, ok := s.targets[number]
+	return p, ok
+}
+
+// Peers returns what is known of all processes, in no particular order.
+func (s *Signaller) Peers() []Peer {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	peers := make([]Peer, 0, len(s.peers))
+	for _, p := range s.peers {
+		peers = append(peers, p)
+	}
+	return peers
+}
+
+// Tick sends the beacons and probes that are due and forgets silent processes.
+func (s *Signaller) Tick(now time.Time) {
+	if now.Sub(s.lastSent) >= beaconInterval {
+		s.lastSent = now
+		beacon := s.encodeBeacon(now, true)
+		for n, address := range s.agents {
+			if !s.detector.IsDown(n) {
+				s.detector.Forwarded(n, now)
+				s.send(beacon, address)
+			}
+		}
+		s.forgetSilent(now)
+	}
+	probes := s.detector.Tick(now)
+	if len(probes) == 0 {
+		return
+	}
+	beacon := s.encodeBeacon(now, true)
+	for _, p := range probes {
+		s.send(beacon, s.agents[p.Target()])
+	}
+}
+
+func (s *Signaller) forgetSilent(now time.Time) {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	for address, p := range s.peers {
+		if now.Sub(p.HeardAt) > peerTimeout {
+			delete(s.peers, address)
+			delete(s.targets, p.Target)
+		}
+	}
+}
+
+func (s *Signaller) encodeBeacon(now time.Time, answerWanted bool) []byte {
+	beacon := s.options.Describe(now)
+	beacon.AnswerWanted = answerWanted
+	b, err := proto.Marshal(&wirepb.Signal{Body: &wirepb.Signal_Beacon{Beacon: beacon}})
+	if err != nil {
+		s.options.Logger.Error().Err(err).Msg("beacon not encoded")
+		return nil
+	}
+	return b
+}
+
+// SendHint tells a process which target holds a flow.
+func (s *Signaller) SendHint(to netip.Addr, flow uint64, target uint32) {
+	hint := &wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: flow, Target: target}}}
+	if b, err := proto.Marshal(hint); err == nil {
+		s.send(b, to)
+	}
+}
+
+// send writes one datagram. Losing it costs an interval or a search, and an
+// unreachable process shows in the missing answers.
+func (s *Signaller) send(b []byte, to netip.Addr) {
+	if _, err := s.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(to, s.options.Address.Port())); err != nil {
+		s.options.Logger.Debug().Err(err).Stringer("address", to).Msg("signal not sent")
+	}
+}
+
+// Receive handles signals until the socket is closed.
+func (s *Signaller) Receive() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			s.options.Logger.Debug().Err(err).Msg("signal not received")
+			continue
+		}
+		var signal wirepb.Signal
+		if err := proto.Unmarshal(buffer[:n], &signal); err != nil {
+			s.options.Logger.Warn().Err(err).Stringer("address", from.Addr()).Msg("signal not decoded")
+			continue
+		}
+		s.handle(&signal, from.Addr().Unmap(), time.Now())
+	}
+}
+
+func (s *Signaller) handle(signal *wirepb.Signal, from netip.Addr, now time.Time) {
+	if hint := signal.GetFlowHint(); hint != nil && s.options.Hint != nil {
+		s.options.Hint(hint.GetFlow(), hint.GetTarget())
+	}
+	b := signal.GetBeacon()
+	if b == nil {
+		return
+	}
+	s.detector.Heard(b.GetTarget(), now)
+	p := Peer{
+		Address: from, Process: b.GetProcess(), Incarnation: b.GetIncarnation(), Target: b.GetTarget(), Revision: b.GetRevision(),
+		ConfirmedAt: now.Add(-time.Duration(b.GetConfirmedAgeMs()) * time.Millisecond),
+		Running:     int(b.GetRunning()), Slots: int(b.GetSlots()), Flows: int(b.GetFlows()), IsLeaving: b.GetLeaving(),
+		IsSilent: b.GetSilent(), HeardAt: now,
+	}
+	s.lock.Lock()
+	s.peers[from] = p
+	if p.Target != 0 {
+		s.targets[p.Target] = p
+	}
+	s.lock.Unlock()
+	if b.GetAnswerWanted() {
+		s.send(s.encodeBeacon(now, false), from)
+	}
+}
--- /dev/null
+++ b/internal/steerer/steerer.go
@@ -0,0 +1,200 @@
+// Package steerer is the data path of a balancer for packet flows: it takes
+// callers' packets and sends each to the agent of a target.
+//
+// It remembers which target holds a flow, so that packets need no search. What
+// it remembers may be lost or wrong: the agent of a target that does not hold
+// the flow continues with a search from the start.
+//
+// # Usage
+//
+//	s, err := steerer.NewSteerer(ctx, steerer.Options{Address: address, Table: follower.Table, ...})
+//	err = s.Run()
+package steerer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/ansel1/merry/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rs/zerolog"
+
+	"kingcupvalve.example/kingcupvalve/internal/batcher"
+	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
+
+const (
+	// batchSize is the number of datagrams read at a time.
+	batchSize = 32
+	// datagramSize is above the largest packet in bytes.
+	datagramSize = 2048
+	// maxHints bounds the remembered flows; each takes about 100 bytes.
+	maxHints = 65_536
+	// currentFor is the age of a table up to which it is taken as proof that an
+	// address is not published.
+	currentFor = 1500 * time.Millisecond
+)
+
+var (
+	forwarded  = metrics.GetOrCreateCounter("kingcupvalve_steerer_packets_forwarded_total")
+	opened     = metrics.GetOrCreateCounter("kingcupvalve_steerer_flows_opened_total")
+	malformed  = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="malformed"}`)
+	unrouted   = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="unrouted"}`)
+	untargeted = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="untargeted"}`)
+	resetsSent = metrics.GetOrCreateCounter("kingcupvalve_steerer_resets_total")
+)
+
+// Options configures a Steerer.
+type Options struct {
+	// Address is the UDP address that routers send to; agents use its port too.
+	Address netip.AddrPort
+	Codec   framer.Codec
+	Table   func() *router.Table
+	// TableAge returns the time since the table was last known to be current.
+	TableAge func(now time.Time) time.Duration
+	Chooser  *chooser.Chooser
+	// IsDown reports whether the agent of a target does not answer.
+	IsDown func(target uint32) bool
+	Logger zerolog.Logger
+}
+
+// Steerer holds the socket and the hints.
+type Steerer struct {
+	options Options
+	conn    *batcher.Conn
+	hints   *lru.Cache[uint64, uint32]
+	lastIn  atomic.Int64
+	resets  [][]byte
+}
+
+// NewSteerer binds the socket.
+func NewSteerer(ctx context.Context, options Options) (*Steerer, error) {
+	conn, err := batcher.Listen(ctx, options.Address)
+	if err != nil {
+		return nil, merry.Prepend(err, "start steerer")
+	}
+	hints, err := lru.New[uint64, uint32](maxHints)
+	if err != nil {
+		return nil, merry.Prepend(err, "start steerer")
+	}
+	return &Steerer{options: options, conn: conn, hints: hints}, nil
+}
+
+// Close ends Run.
+func (s *Steerer) Close() error { return s.conn.Close() }
+
+// AddHint records which target holds a flow. It is safe for concurrent use.
+func (s *Steerer) AddHint(flow uint64, target uint32) { s.hints.Add(flow, target) }
+
+// LastPacket returns the time of the last packet of a caller. It is safe for
+// concurrent use.
+func (s *Steerer) LastPacket() time.Time { return time.Unix(0, s.lastIn.Load()) }
+
+// Run forwards packets until the socket is closed.
+func (s *Steerer) Run() error {
+	pool := batcher.NewPool(batchSize, datagramSize, 0)
+	reader := s.conn.NewReader(pool)
+	for {
+		batch, err := reader.Read()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return merry.Prepend(err, "read packets")
+		}
+		now := time.Now()
+		s.lastIn.Store(now.UnixNano())
+		s.resets = s.resets[:0]
+		writer := batch.Writer()
+		for i := range batch.Len() {
+			s.steer(batch.Payload(i), writer, now)
+		}
+		if failed, excess := writer.Flush(s.conn); failed+excess > 0 {
+			s.options.Logger.Warn().Int("failed", failed).Int("excess", excess).Msg("packets not sent")
+		}
+		pool.Put(batch)
+	}
+}
+
+func (s *Steerer) steer(datagram []byte, writer *batcher.Writer, now time.Time) {
+	p, ok := s.options.Codec.Decode(datagram)
+	if !ok {
+		malformed.Inc()
+		return
+	}
+	table := s.options.Table()
+	route, ok := table.Route(p.Destination)
+	if !ok {
+		unrouted.Inc()
+		if age := s.options.TableAge(now); age < currentFor && !p.Resets {
+			s.reset(p, "no route", table, age, writer)
+		}
+		return
+	}
+	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: s.options.Address.Addr()}
+	hop, ok := s.place(table, route, p)
+	if !ok {
+		untargeted.Inc()
+		s.options.Logger.Warn().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
+			Uint64("version", table.Version()).Msg("no target for packet")
+		return
+	}
+	s.options.Codec.Mark(datagram, hop.Mark)
+	to := batcher.NewAddress(netip.AddrPortFrom(hop.Target.Address.Addr(), s.options.Address.Port()))
+	writer.Add(datagram, &to)
+	forwarded.Inc()
+}
+
+func (s *Steerer) place(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+	key := p.Key()
+	if p.Opens {
+		hop, ok := s.placeOpening(table, route, key, p)
+		if ok {
+			opened.Inc()
+			s.hints.Add(key, hop.Number)
+		}
+		return hop, ok
+	}
+	if number, ok := s.hints.Get(key); ok {
+		if target, ok := table.Target(number); ok && route.Allows(target.Service) {
+			return router.Hop{Number: number, Target: target, Mark: p.Mark}, true
+		}
+		s.hints.Remove(key)
+	}
+	return table.Search(route, key, p.Mark, s.options.Chooser.AcceptOpen())
+}
+
+// placeOpening chooses the target of a new flow. A copy of an opening packet
+// shows that the target of the one before did not answer, so it goes to another
+// one if there is any.
+func (s *Steerer) placeOpening(table *router.Table, route *router.Route, key uint64, p framer.Packet) (router.Hop, bool) {
+	accept := s.options.Chooser.AcceptOpening(route.ServiceOf(key))
+	if before, ok := s.hints.Get(key); ok && p.Acknowledged > 0 {
+		others := func(n uint32, t *router.Target, second bool) bool { return n != before && accept(n, t, second) }
+		if hop, ok := table.Search(route, key, p.Mark, others); ok {
+			return hop, true
+		}
+	}
+	return table.Search(route, key, p.Mark, accept)
+}
+
+func (s *Steerer) reset(p framer.Packet, reason string, table *router.Table, age time.Duration, writer *batcher.Writer) {
+	if writer.IsFull() {
+		return
+	}
+	b := s.options.Codec.EncodeReset(nil, p)
+	// The bytes stay referenced until the writer is flushed.
+	s.resets = append(s.resets, b)
+	to := batcher.NewAddress(netip.AddrPortFrom(p.Source.Addr(), s.options.Address.Port()))
+	writer.Add(b, &to)
+	resetsSent.Inc()
+	s.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Str("reason", reason).
+		Uint64("version", table.Version()).Dur("table_age", age).Msg("flow reset")
+}
--- /dev/null
+++ b/internal/validator/packets.go
@@ -0,0 +1,44 @@
+package validator
+
+import (
+	"fmt"
+
+	"kingcupvalve.example/kingcupvalve/internal/cataloger"
+	"kingcupvalve.example/kingcupvalve/internal/parser"
+)
+
+// unusedWithPackets are the sections that the HTTP/3 way of serving needs and
+// packet flows ignore.
+var unusedWithPackets = []string{"key_ring", "tls", "tunnel_address", "tunnel_mtu", "operator_address", "balancer", "agent"}
+
+// checkPackets checks the settings of a process that serves packet flows.
+func (c *settingsCheck) checkPackets() {
+	c.checkProcess()
+	for _, key := range unusedWithPackets {
+		if c.positions.Has(key) {
+			c.add(key, parser.FaultConflict, "", fmt.Sprintf("the key %s only without packets", key))
+		}
+	}
+	for _, key := range []string{"control_address", "packets.address", "packets.ready_address"} {
+		c.checkAddress(key, c.text(key))
+	}
+	if c.positions.Has("packets.metrics_address") {
+		c.checkAddress("packets.metrics_address", c.text("packets.metrics_address"))
+	}
+	c.checkSeeds()
+	agentKeys := []string{"packets.outbound_address", "packets.backend_address", "packets.service"}
+	for _, key := range agentKeys {
+		switch {
+		case c.settings.Role() != cataloger.RoleAgent:
+			if c.positions.Has(key) {
+				c.add(key, parser.FaultConflict, "", fmt.Sprintf("the key %s only with role agent", key))
+			}
+		case key == "packets.service":
+			c.checkName(key, c.text(key))
+		default:
+			c.checkAddress(key, c.text(key))
+		}
+	}
+	c.checkLog()
+	c.checkDurations()
+}
--- a/internal/validator/settings.go
+++ b/internal/validator/settings.go
@@ -28,6 +28,10 @@
 		return problems
 	}
 	c := &settingsCheck{settings: s, positions: s.Positions()}
+	if s.ServesPackets() {
+		c.checkPackets()
+		return locate(s.Positions(), c.problems)
+	}
 	c.checkProcess()
 	c.checkAddresses()
 	c.checkKeyRing()
@@ -74,6 +78,10 @@
 			listeners.check(&c.report, c.text(key), key, "a TCP address of its own")
 		}
 	}
+	c.checkSeeds()
+}
+
+func (c *settingsCheck) checkSeeds() {
 	seeds := make(firstUse[string])
 	for i := range c.settings.Seeds() {
 		key := fmt.Sprintf("seeds[%d]", i)
