--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -123,7 +123,7 @@
 	c.deliverer, err = deliverer.NewDeliverer(ctx, deliverer.Options{
 		Address: p.Address(), Outbound: p.OutboundAddress(), Backend: p.BackendAddress(), Service: p.Service(),
 		Codec: c.platform.Codec, Table: c.follower.Table, Chooser: c.chooser, Tracker: c.tracker, Hint: c.signaller.SendHint,
-		Logger: c.logger,
+		TableAge: c.follower.Age, Logger: c.logger,
 	})
 	return err
 }
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -39,13 +39,14 @@
 )
 
 var (
-	delivered = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
-	answered  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
-	returned  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
-	passedOn  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
-	malformed = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
-	unrouted  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
-	exhausted = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
+	delivered  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
+	answered   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
+	returned   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
+	passedOn   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
+	malformed  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
+	unrouted   = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
+	resetsSent = metrics.GetOrCreateCounter("kingcupvalve_deliverer_resets_total")
+	exhausted  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
 )
 
 // Options configures a Deliverer.
@@ -62,6 +63,8 @@
 	Table   func() *router.Table
 	Chooser *chooser.Chooser
 	Tracker *tracker.Tracker
+	// TableAge returns the time since the table was last known to be current.
+	TableAge func(now time.Time) time.Duration
 	// Hint tells a balancer that the own target holds a flow.
 	Hint   func(balancer netip.Addr, flow uint64, target uint32)
 	Logger zerolog.Logger
@@ -72,6 +75,7 @@
 	options   Options
 	conn      *batcher.Conn
 	outbound  *batcher.Conn
+	orphans   *orphanage
 	isLeaving atomic.Bool
 }
 
@@ -86,7 +90,7 @@
 		_ = conn.Close()
 		return nil, merry.Prepend(err, "start deliverer")
 	}
-	return &Deliverer{options: options, conn: conn, outbound: outbound}, nil
+	return &Deliverer{options: options, conn: conn, outbound: outbound, orphans: newOrphanage()}, nil
 }
 
 // Leave passes new flows on from now on.
@@ -149,7 +153,7 @@
 		return
 	}
 	if !route.Allows(d.options.Service) || p.Opens && !d.takesOpening(table, route, p, now) {
-		d.passOn(table, route, p, datagram, writer, "not taken")
+		d.passOn(table, route, p, datagram, writer, now)
 		return
 	}
 	d.options.Tracker.Delivered(p.Key(), p, now)
@@ -195,7 +199,7 @@
 		return
 	}
 	if p.Returned {
-		d.returnPacket(datagram, p, writer)
+		d.returnPacket(datagram, p, writer, now)
 		return
 	}
 	key := p.ReverseKey()
@@ -210,7 +214,7 @@
 }
 
 // returnPacket continues the search for a packet that the target returned.
-func (d *Deliverer) returnPacket(datagram []byte, p framer.Packet, writer *batcher.Writer) {
+func (d *Deliverer) returnPacket(datagram []byte, p framer.Packet, writer *batcher.Writer, now time.Time) {
 	returned.Inc()
 	before := d.options.Tracker.Returned(p.Key())
 	p.Mark.Via, p.Mark.Hops = before.Via, before.Hops
@@ -220,11 +224,11 @@
 		unrouted.Inc()
 		return
 	}
-	d.passOn(table, route, p, datagram, writer, "returned")
+	d.passOn(table, route, p, datagram, writer, now)
 }
 
 // passOn sends a packet to the next target of its search.
-func (d *Deliverer) passOn(table *router.Table, route *router.Route, p framer.Packet, datagram []byte, writer *batcher.Writer, reason string) {
+func (d *Deliverer) passOn(table *router.Table, route *router.Route, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
 	accept := d.options.Chooser.AcceptOpen()
 	key := p.Key()
 	if p.Opens {
@@ -234,9 +238,7 @@
 	others := func(n uint32, t *router.Target, second bool) bool { return n != self && accept(n, t, second) }
 	hop, ok := table.Search(route, key, p.Mark, others)
 	if !ok || p.Mark.Hops >= maxHops {
-		exhausted.Inc()
-		d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
-			Str("reason", reason).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Msg("no target left for packet")
+		d.giveUp(table, p, datagram, writer, now)
 		return
 	}
 	hop.Mark.Hops++
@@ -245,3 +247,20 @@
 	writer.Add(datagram, &to)
 	passedOn.Inc()
 }
+
+// giveUp ends a search that has visited every target.
+func (d *Deliverer) giveUp(table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
+	exhausted.Inc()
+	age := d.options.TableAge(now)
+	isOrphan := !p.Opens && !p.Resets && p.Mark.Hops < maxHops && d.orphans.confirm(p.Key(), now, age)
+	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
+		Bool("reset", isOrphan).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age", age).
+		Msg("no target left for packet")
+	if !isOrphan {
+		return
+	}
+	reset := d.options.Codec.EncodeReset(datagram[:0], p)
+	to := batcher.NewAddress(netip.AddrPortFrom(p.Source.Addr(), d.options.Address.Port()))
+	writer.Add(reset, &to)
+	resetsSent.Inc()
+}
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -100,7 +100,9 @@
 func encodeItem(c registrar.Change) *wirepb.TableItem {
 	item := &wirepb.TableItem{Key: c.Key, Revision: c.Revision}
 	if c.Config != nil {
-		item.Config = &wirepb.RoutingConfig{Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds())}
+		item.Config = &wirepb.RoutingConfig{
+			Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds()), Services: c.Config.Services,
+		}
 		for _, r := range c.Config.Routes {
 			entry := &wirepb.RouteEntry{Address: r.Address.String(), Name: r.Name, Kind: string(r.Kind)}
 			for _, s := range r.Shares {
@@ -123,7 +125,9 @@
 func decodeItem(item *wirepb.TableItem) registrar.Change {
 	change := registrar.Change{Key: item.GetKey(), Revision: item.GetRevision()}
 	if c := item.GetConfig(); c != nil {
-		change.Config = &router.Config{Version: c.GetVersion(), IdleTimeout: time.Duration(c.GetIdleTimeoutMs()) * time.Millisecond}
+		change.Config = &router.Config{
+			Version: c.GetVersion(), IdleTimeout: time.Duration(c.GetIdleTimeoutMs()) * time.Millisecond, Services: c.GetServices(),
+		}
 		for _, r := range c.GetRoutes() {
 			address, err := netip.ParseAddrPort(r.GetAddress())
 			if err != nil {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -21,6 +21,8 @@
 	staleAfter = 1800 * time.Millisecond
 	// pullTimeout bounds a fetch from a peer.
 	pullTimeout = 700 * time.Millisecond
+	// unconfirmedAge is the age of a table that nothing was read into.
+	unconfirmedAge = 24 * time.Hour
 	// pullPause follows a failed fetch from a peer.
 	pullPause = 300 * time.Millisecond
 )
@@ -81,6 +83,7 @@
 		results: make(chan result, 4), requests: make(chan request), wake: make(chan struct{}, 1),
 	}
 	f.table.Store(router.NewTable(router.Config{}, nil, 0))
+	f.confirmedAt.Store(int64(-unconfirmedAge))
 	f.wanted.Store(true)
 	return f
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -20,6 +20,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -154,20 +155,35 @@
 	return changes
 }
 
-// Table returns the routing table at a time.
+// Table returns the routing table at a time. An entry of a service that the
+// configuration doesn't name is no target, and of several entries with one
+// address only the last one can be a live target.
 func (r *Registrar) Table(now time.Time) *router.Table {
-	var targets []router.Target
+	latest := make(map[netip.AddrPort]router.Target)
 	for _, key := range slices.Sorted(maps.Keys(r.rows)) {
-		w := r.rows[key]
-		if t := w.change.Target; t != nil {
-			targets = append(targets, *t)
-		} else if w.last != nil && now.Sub(w.goneAt) < goneHold {
-			t := *w.last
-			t.State = departedState(t, now.Sub(w.goneAt))
-			targets = append(targets, t)
+		t, ok := r.rows[key].target(now)
+		if !ok || !slices.Contains(r.config.Services, t.Service) {
+			continue
+		}
+		if other, ok := latest[t.Address]; !ok || other.Revision < t.Revision {
+			latest[t.Address] = t
 		}
 	}
-	return router.NewTable(r.config, targets, r.revision)
+	return router.NewTable(r.config, slices.Collect(maps.Values(latest)), r.revision)
+}
+
+// target returns the target of an item as it is at a time.
+func (w *row) target(now time.Time) (router.Target, bool) {
+	if t := w.change.Target; t != nil {
+		return *t, true
+	}
+	since := now.Sub(w.goneAt)
+	if w.last == nil || since >= goneHold {
+		return router.Target{}, false
+	}
+	t := *w.last
+	t.State = departedState(t, since)
+	return t, true
 }
 
 func departedState(t router.Target, since time.Duration) router.State {
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -45,6 +45,7 @@
 type Config struct {
 	Version     uint64
 	Routes      []Route
+	Services    []string
 	IdleTimeout time.Duration
 }
 
