Count requests as running once their target has answered on the flow

A flow that no target holds is now reset at the first search; a target that other processes may not know yet gets new flows only when the others have no free slot, so that a search can't miss it.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -43,7 +43,9 @@
 }
 
 // AcceptOpening returns the condition for an opening packet. The first pass
-// visits targets with a free slot, the second one those with room in the queue.
+// visits targets with a free slot, the second one those with room in the queue
+// and those that other processes may not know yet: a packet of a flow there
+// could be taken for one that no target holds.
 func (c *Chooser) AcceptOpening(service string) router.Accept {
 	return func(number uint32, target *router.Target, secondPass bool) bool {
 		if target.Service != service || target.State != router.Serving && target.State != router.Lapsed || c.isDown(number) {
@@ -52,7 +54,7 @@
 		r, known := c.report(number)
 		if !known {
 			// An agent that was never heard of may be just starting.
-			return target.State == router.Serving
+			return target.State == router.Serving && target.IsFresh == secondPass
 		}
 		if r.IsLeaving || r.IsSilent {
 			return false
@@ -60,15 +62,19 @@
 		if secondPass {
 			return r.HasRoom()
 		}
-		return r.HasFreeSlot()
+		return r.HasFreeSlot() && !target.IsFresh
 	}
 }
 
 // AcceptOpen returns the condition for a packet of an open flow: first the
-// targets whose agents answer, then the others.
+// listed targets whose agents answer, then listed ones whose agents do not
+// answer, which may hold the flow all the same, and others whose agents do.
 func (c *Chooser) AcceptOpen() router.Accept {
 	return func(number uint32, target *router.Target, secondPass bool) bool {
-		isReachable := target.State != router.Gone && !c.isDown(number)
-		return isReachable != secondPass
+		isListed, isDown := target.State != router.Gone, c.isDown(number)
+		if secondPass {
+			return isListed == isDown
+		}
+		return isListed && !isDown
 	}
 }
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -280,7 +280,7 @@
 	agents := make(map[uint32]netip.Addr)
 	own := c.settings.ControlAddress().Addr()
 	t.Targets(func(n uint32, target *router.Target) {
-		if target.State != router.Gone && target.Address.Addr() != own {
+		if target.Address.Addr() != own {
 			agents[n] = target.Address.Addr()
 		}
 	})
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -36,6 +36,10 @@
 	// maxHops ends a packet that travels in a loop, which tables that change
 	// under way can cause.
 	maxHops = 250
+	// currentFor is the age of a table up to which a search through it proves
+	// that no target holds a flow. Targets that other processes may not know yet
+	// get no flows, see chooser.
+	currentFor = 1500 * time.Millisecond
 )
 
 var (
@@ -75,7 +79,6 @@
 	options   Options
 	conn      *batcher.Conn
 	outbound  *batcher.Conn
-	orphans   *orphanage
 	isLeaving atomic.Bool
 }
 
@@ -90,7 +93,7 @@
 		_ = conn.Close()
 		return nil, merry.Prepend(err, "start deliverer")
 	}
-	return &Deliverer{options: options, conn: conn, outbound: outbound, orphans: newOrphanage()}, nil
+	return &Deliverer{options: options, conn: conn, outbound: outbound}, nil
 }
 
 // Leave passes new flows on from now on.
@@ -252,7 +255,7 @@
 func (d *Deliverer) giveUp(table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
 	exhausted.Inc()
 	age := d.options.TableAge(now)
-	isOrphan := !p.Opens && !p.Resets && p.Mark.Hops < maxHops && d.orphans.confirm(p.Key(), now, age)
+	isOrphan := !p.Opens && !p.Resets && p.Mark.Hops < maxHops && age < currentFor
 	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
 		Bool("reset", isOrphan).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age", age).
 		Msg("no target left for packet")
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -34,6 +34,9 @@
 	// goneHold covers the longest silence after which an end sends a packet of
 	// an open flow again, with a margin.
 	goneHold = 15 * time.Second
+	// freshTime is above the time in which a new target becomes known to every
+	// process: a beacon interval, a pull and a tick.
+	freshTime = 500 * time.Millisecond
 	// removalHold is the time that removals are remembered. It is longer than
 	// any source of older items may lag behind.
 	removalHold = 5 * time.Minute
@@ -56,6 +59,8 @@
 	// last is the target before its entry disappeared, goneAt when it did.
 	last   *router.Target
 	goneAt time.Time
+	// freshUntil is the end of the time in which others may not know the target.
+	freshUntil time.Time
 }
 
 // Registrar holds the items. It belongs to one goroutine.
@@ -120,6 +125,9 @@
 	}
 	if c.Target != nil {
 		known.last = nil
+		if known.change.Target == nil && r.revision > 0 {
+			known.freshUntil = now.Add(freshTime)
+		}
 	}
 	known.change = c
 	return true
@@ -130,6 +138,7 @@
 func (r *Registrar) Expire(before, now time.Time) bool {
 	changed := false
 	for key, w := range r.rows {
+		changed = changed || before.Before(w.freshUntil) && !now.Before(w.freshUntil)
 		if !w.change.IsGone() {
 			continue
 		}
@@ -165,7 +174,7 @@
 		if !ok || !slices.Contains(r.config.Services, t.Service) {
 			continue
 		}
-		if other, ok := latest[t.Address]; !ok || other.Revision < t.Revision {
+		if other, known := latest[t.Address]; !known || other.Revision < t.Revision {
 			latest[t.Address] = t
 		}
 	}
@@ -175,7 +184,9 @@
 // target returns the target of an item as it is at a time.
 func (w *row) target(now time.Time) (router.Target, bool) {
 	if t := w.change.Target; t != nil {
-		return *t, true
+		target := *t
+		target.IsFresh = now.Before(w.freshUntil)
+		return target, true
 	}
 	since := now.Sub(w.goneAt)
 	if w.last == nil || since >= goneHold {
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -79,6 +79,8 @@
 	ColdLeft time.Duration
 	Started  int64 // ms since the Unix epoch
 	Revision uint64
+	// IsFresh is set while other processes may not know the target yet.
+	IsFresh bool
 }
 
 // Number returns the number of a target, the same in every process. Two of
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -163,7 +163,8 @@
 		return hop, ok
 	}
 	if number, ok := s.hints.Get(key); ok {
-		if target, ok := table.Target(number); ok && route.Allows(target.Service) {
+		target, ok := table.Target(number)
+		if ok && route.Allows(target.Service) && (target.State != router.Gone || !s.options.IsDown(number)) {
 			return router.Hop{Number: number, Target: target, Mark: p.Mark}, true
 		}
 		s.hints.Remove(key)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -18,9 +18,9 @@
 	// running request. A caller's first data follows the handshake, which takes
 	// two round trips of at most some 10 ms, within it.
 	openingTime = 100 * time.Millisecond
-	// requestTimeout ends requests whose answer never came; callers give up
-	// earlier.
-	requestTimeout = 10 * time.Second
+	// requestTimeout ends requests whose answer never came. The longest work of a
+	// slow target takes about 1 s.
+	requestTimeout = 3 * time.Second
 	// silenceLimit is the time without any packet from the target after an
 	// opening packet, which a live target answers in about 1 ms.
 	silenceLimit = 250 * time.Millisecond
@@ -38,8 +38,8 @@
 	waitingSince time.Time
 	sentUpTo     uint32 // sequence number after the caller's last new byte
 	hasSent      bool
-	running      bool
-	established  bool
+	waiting      bool // the caller's data is unanswered
+	established  bool // the target has sent a packet of the flow
 	via          netip.Addr
 	hops         uint8
 	hinted       netip.Addr // balancer that has the hint
@@ -89,16 +89,33 @@
 	if p.Length > 0 && (!f.hasSent || int32(end-f.sentUpTo) > 0) {
 		t.endOpening(f)
 		f.hasSent, f.sentUpTo = true, end
-		if !f.running {
-			f.running, f.waitingSince = true, now
-			t.running++
+		if !f.waiting {
+			t.setWaiting(f, true)
+			f.waitingSince = now
 		}
 	}
+	if p.Ends {
+		t.setWaiting(f, false)
+	}
 	if p.Resets {
 		t.remove(key, f)
 	}
 }
 
+// setWaiting keeps the number of running requests. Data that a target may
+// never have received, because it has not sent anything on the flow, does not
+// count.
+func (t *Tracker) setWaiting(f *flow, waiting bool) {
+	if f.established && f.waiting != waiting {
+		if waiting {
+			t.running++
+		} else {
+			t.running--
+		}
+	}
+	f.waiting = waiting
+}
+
 // Answered records a packet of the target. It returns the balancer to tell
 // that the target holds the flow, if the flow was found by a search.
 func (t *Tracker) Answered(key uint64, p framer.Packet, now time.Time) (netip.Addr, bool) {
@@ -109,10 +126,15 @@
 	if f == nil {
 		return netip.Addr{}, false
 	}
-	f.lastSeen, f.established = now, true
-	if p.Length > 0 && f.running {
-		f.running = false
-		t.running--
+	f.lastSeen = now
+	if !f.established {
+		f.established = true
+		if f.waiting {
+			t.running++
+		}
+	}
+	if p.Length > 0 {
+		t.setWaiting(f, false)
 	}
 	if p.Resets {
 		t.remove(key, f)
@@ -141,9 +163,7 @@
 
 func (t *Tracker) remove(key uint64, f *flow) {
 	t.endOpening(f)
-	if f.running {
-		t.running--
-	}
+	t.setWaiting(f, false)
 	delete(t.flows, key)
 }
 
@@ -165,9 +185,8 @@
 		switch {
 		case now.Sub(f.lastSeen) > idleTimeout:
 			t.remove(key, f)
-		case f.running && now.Sub(f.waitingSince) > requestTimeout:
-			f.running = false
-			t.running--
+		case f.waiting && now.Sub(f.waitingSince) > requestTimeout:
+			t.setWaiting(f, false)
 		case !f.hasSent && now.Sub(f.opened) > openingTime:
 			t.endOpening(f)
 		}
