--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -11,10 +11,10 @@
 
 import "kingcupvalve.example/kingcupvalve/internal/router"
 
-// queueFactor times the slots is the load above which a target gets no new
-// flow, whatever the load of the others is: a longer queue is shed by the
-// targets themselves.
-const queueFactor = 4
+// queueFactor times the slots is the load up to which a target gets the first
+// packet of a new flow although no target has a free slot. With one request
+// running and one waiting for each slot, the wait is about one service time.
+const queueFactor = 2
 
 // Report is what the agent of a target last said.
 type Report struct {
@@ -27,8 +27,12 @@
 // HasFreeSlot reports whether a request would run at once.
 func (r Report) HasFreeSlot() bool { return r.Slots == 0 || r.Running < r.Slots }
 
-// HasRoom reports whether a request would find a place in the queue.
-func (r Report) HasRoom() bool { return r.Slots == 0 || r.Running < queueFactor*r.Slots }
+// HasRoom reports whether a target takes an opening packet although no target
+// has a free slot. A copy of one belongs to a request that is late already, so
+// it waits until the requests in time are served.
+func (r Report) HasRoom(isCopy bool) bool {
+	return r.Slots == 0 || !isCopy && r.Running < queueFactor*r.Slots
+}
 
 // Chooser gives the conditions of searches.
 type Chooser struct {
@@ -43,9 +47,10 @@
 }
 
 // AcceptOpening returns the condition for an opening packet. The first pass
-// visits targets with a free slot, the second one those with room in the queue
-// and those that other processes may not know yet: a packet of a flow there
-// could be taken for one that no target holds.
+// visits targets with a free slot. The second one visits all others, whose
+// agents decide by their present load. A target that other processes may not know yet waits for
+// the second pass too, because a search through an older table would find
+// that no target holds its flows.
 func (c *Chooser) AcceptOpening(service string) router.Accept {
 	return func(number uint32, target *router.Target, secondPass bool) bool {
 		if target.Service != service || target.State != router.Serving && target.State != router.Lapsed || c.isDown(number) {
@@ -59,10 +64,7 @@
 		if r.IsLeaving || r.IsSilent {
 			return false
 		}
-		if secondPass {
-			return r.HasRoom()
-		}
-		return r.HasFreeSlot() && !target.IsFresh
+		return secondPass || r.HasFreeSlot() && !target.IsFresh
 	}
 }
 
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -159,6 +159,9 @@
 		d.passOn(table, route, p, datagram, writer, now)
 		return
 	}
+	if p.Opens {
+		d.logPlaced(table, p, now)
+	}
 	d.options.Tracker.Delivered(p.Key(), p, now)
 	d.options.Codec.Mark(datagram, framer.Mark{Progress: p.Mark.Progress})
 	to := batcher.NewAddress(d.options.Backend)
@@ -166,6 +169,13 @@
 	delivered.Inc()
 }
 
+func (d *Deliverer) logPlaced(table *router.Table, p framer.Packet, now time.Time) {
+	load := d.options.Tracker.Load(now)
+	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Uint32("copy", p.Acknowledged).
+		Int("running", load.Running).Int("flows", load.Flows).Uint8("hops", p.Mark.Hops).
+		Bool("second_pass", p.Mark.IsSecondPass()).Uint64("version", table.Version()).Msg("flow placed")
+}
+
 // takesOpening decides whether the own target gets a new flow. The agent knows
 // its load better than the process that sent the packet.
 func (d *Deliverer) takesOpening(table *router.Table, route *router.Route, p framer.Packet, now time.Time) bool {
@@ -189,7 +199,7 @@
 	}
 	report := chooser.Report{Running: load.Running, Slots: target.Slots}
 	if p.Mark.IsSecondPass() {
-		return report.HasRoom()
+		return report.HasRoom(p.Acknowledged > 0)
 	}
 	return report.HasFreeSlot()
 }
