--- /dev/null
+++ b/internal/chooser/chooser_test.go
@@ -0,0 +1,85 @@
+package chooser
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
+
+const number = 1
+
+func newChooser(down bool, r Report, known bool) *Chooser {
+	return NewChooser(func(uint32) bool { return down }, func(uint32) (Report, bool) { return r, known })
+}
+
+func TestAcceptOpening(t *testing.T) {
+	serving := router.Target{Service: "feeds"}
+	with := func(change func(t *router.Target)) *router.Target {
+		t := serving
+		change(&t)
+		return &t
+	}
+	for _, c := range []struct {
+		name          string
+		target        *router.Target
+		down          bool
+		report        Report
+		known         bool
+		first, second bool
+	}{
+		{"a free slot", &serving, false, Report{Slots: 2, Running: 1}, true, true, true},
+		{"no free slot", &serving, false, Report{Slots: 2, Running: 2}, true, false, true},
+		{"an agent that never reported", &serving, false, Report{}, false, true, false},
+		{"an agent that does not answer", &serving, true, Report{Slots: 2}, true, false, false},
+		{"an agent that leaves", &serving, false, Report{Slots: 2, IsLeaving: true}, true, false, false},
+		{"a target that does not answer", &serving, false, Report{Slots: 2, IsSilent: true}, true, false, false},
+		{"a draining target", with(func(t *router.Target) { t.State = router.Draining }), false, Report{}, true, false, false},
+		{"a target that is gone", with(func(t *router.Target) { t.State = router.Gone }), false, Report{}, true, false, false},
+		{"a lapsed target that answers", with(func(t *router.Target) { t.State = router.Lapsed }), false, Report{}, true, true, true},
+		{"a lapsed target that never answered", with(func(t *router.Target) { t.State = router.Lapsed }), false, Report{}, false, false, false},
+		{"a target that others may not know", with(func(t *router.Target) { t.IsFresh = true }), false, Report{}, true, false, true},
+		{"a target of another service", with(func(t *router.Target) { t.Service = "bundles" }), false, Report{}, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			accept := newChooser(c.down, c.report, c.known).AcceptOpening("feeds")
+			is.Equal(accept(number, c.target, false), c.first)
+			is.Equal(accept(number, c.target, true), c.second)
+		})
+	}
+}
+
+func TestAcceptOpen(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		state         router.State
+		down          bool
+		first, second bool
+	}{
+		{"a listed target that answers", router.Serving, false, true, false},
+		{"a draining target that answers", router.Draining, false, true, false},
+		{"a listed target that does not answer", router.Serving, true, false, true},
+		{"an unlisted target that answers", router.Gone, false, false, true},
+		// Its flows are dead; a search that waited for it would never end.
+		{"an unlisted target that does not answer", router.Gone, true, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			accept := newChooser(c.down, Report{}, true).AcceptOpen()
+			target := &router.Target{State: c.state}
+			is.Equal(accept(number, target, false), c.first)
+			is.Equal(accept(number, target, true), c.second)
+		})
+	}
+}
+
+// Guards against queues of late requests in front of those in time: after a
+// final fault, worth fell from 0.83 to 0.79 without the bound.
+func TestHasRoom(t *testing.T) {
+	is := is.New(t)
+	is.True(Report{Slots: 4, Running: 7}.HasRoom(false))
+	is.True(!Report{Slots: 4, Running: 8}.HasRoom(false))
+	is.True(!Report{Slots: 4, Running: 4}.HasRoom(true))
+}
--- /dev/null
+++ b/internal/tracker/tracker_test.go
@@ -0,0 +1,132 @@
+package tracker
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+)
+
+const key = 7
+
+var (
+	start    = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	balancer = netip.MustParseAddr("10.0.0.1")
+)
+
+func open(hops uint8) framer.Packet {
+	return framer.Packet{Opens: true, Sequence: 100, Mark: framer.Mark{Via: balancer, Hops: hops}}
+}
+
+func data(sequence uint32) framer.Packet { return framer.Packet{Sequence: sequence, Length: 50} }
+
+// openFlow opens a flow and has the target answer.
+func openFlow(t *Tracker, now time.Time) {
+	t.Delivered(key, open(0), now)
+	t.Answered(key, framer.Packet{Opens: true, Answers: true}, now)
+}
+
+func TestLoad(t *testing.T) {
+	t.Run("a request runs from the caller's data to the target's", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		is.Equal(tr.Load(start).Running, 1) // its first request is expected
+		tr.Delivered(key, data(101), start)
+		tr.Answered(key, framer.Packet{Answers: true}, start)
+		is.Equal(tr.Load(start).Running, 1)
+		tr.Answered(key, framer.Packet{Length: 10}, start)
+		is.Equal(tr.Load(start).Running, 0)
+		tr.Delivered(key, data(101), start) // sent again
+		is.Equal(tr.Load(start).Running, 0)
+		tr.Delivered(key, data(151), start)
+		is.Equal(tr.Load(start).Running, 1)
+	})
+	t.Run("an opened flow without data stops counting", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		later := start.Add(openingTime + time.Millisecond)
+		tr.Tick(later, 0)
+		is.Equal(tr.Load(later).Running, 0)
+		is.Equal(tr.Load(later).Flows, 1)
+	})
+	// Guards against targets that look full for seconds after a restart, because
+	// of data of dead flows (571 lost amendments in a trial).
+	t.Run("data of a flow that the target never answered does not count", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		for n := range uint64(50) {
+			tr.Delivered(n, data(9000), start)
+		}
+		is.Equal(tr.Load(start).Running, 0)
+		tr.Answered(3, framer.Packet{Answers: true}, start)
+		is.Equal(tr.Load(start).Running, 1)
+	})
+	t.Run("a request without an answer ends after the longest work", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		tr.Delivered(key, data(101), start)
+		later := start.Add(requestTimeout + time.Millisecond)
+		tr.Tick(later, 0)
+		is.Equal(tr.Load(later).Running, 0)
+	})
+	t.Run("flows end by idleness, a reset and a return", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		tr.Delivered(key, data(101), start)
+		tr.Tick(start.Add(DefaultIdleTimeout+time.Second), 0)
+		is.Equal(tr.Load(start), Load{})
+		openFlow(tr, start)
+		tr.Delivered(key, framer.Packet{Resets: true}, start)
+		is.Equal(tr.Load(start), Load{})
+		tr.Delivered(key, open(3), start)
+		is.Equal(tr.Returned(key), framer.Mark{Via: balancer, Hops: 3})
+		is.Equal(tr.Load(start), Load{})
+	})
+	t.Run("a target that leaves an opening packet unanswered is silent", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		tr.Delivered(key, open(0), start)
+		later := start.Add(silenceLimit + time.Millisecond)
+		is.True(!tr.Load(start).IsSilent)
+		is.True(tr.Load(later).IsSilent)
+		is.True(tr.TryProbe(later))
+		is.True(!tr.TryProbe(later))
+		tr.Answered(key, framer.Packet{}, later)
+		is.True(!tr.Load(later).IsSilent)
+	})
+	t.Run("the number of flows is bounded", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{MaxFlows: 10})
+		for n := range uint64(100) {
+			tr.Delivered(n, open(0), start)
+		}
+		is.Equal(tr.Load(start).Flows, 10)
+	})
+}
+
+func TestHints(t *testing.T) {
+	t.Run("the balancer of a flow that a search found is told once", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		tr.Delivered(key, open(2), start)
+		via, ok := tr.Answered(key, framer.Packet{}, start)
+		is.True(ok)
+		is.Equal(via, balancer)
+		_, ok = tr.Answered(key, framer.Packet{}, start)
+		is.True(!ok)
+	})
+	t.Run("a flow that needed no search needs no hint", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		tr.Delivered(key, open(0), start)
+		_, ok := tr.Answered(key, framer.Packet{}, start)
+		is.True(!ok)
+	})
+}
