--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,7 @@
 	listeners   []func(t *router.Table)
 	lastTick    time.Time
 	isReading   bool
+	reads       sync.WaitGroup
 }
 
 type result struct {
@@ -119,9 +121,10 @@
 	}
 }
 
-// Run follows until the context ends.
+// Run follows until the context ends and the reads under way have returned.
 func (f *Follower) Run(ctx context.Context) {
-	go f.read(ctx)
+	defer f.reads.Wait()
+	f.reads.Go(func() { f.read(ctx) })
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -239,10 +242,13 @@
 func (f *Follower) pull(ctx context.Context, peer netip.Addr) {
 	f.pulling = true
 	after := f.registrar.Revision()
-	go func() {
-		ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	f.reads.Go(func() {
+		pullContext, cancel := context.WithTimeout(ctx, pullTimeout)
 		defer cancel()
-		batch, err := f.options.Pull(ctx, peer, after)
-		f.results <- result{batch: batch, err: err, source: "peer " + peer.String(), peer: peer}
-	}()
+		batch, err := f.options.Pull(pullContext, peer, after)
+		select {
+		case f.results <- result{batch: batch, err: err, source: "peer " + peer.String(), peer: peer}:
+		case <-ctx.Done():
+		}
+	})
 }
