Reload settings, queue log lines and add the fault soak

Cause: SIGHUP ended a process that had not listened to signals yet, settings that changed were ignored, and a full pipe of the log would have delayed packets.

--- a/cmd/kingcupvalved/main.go
+++ b/cmd/kingcupvalved/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"time"
 
@@ -24,6 +25,8 @@
 const (
 	faultBurst  = 20
 	faultPeriod = 10 * time.Second
+	// routineBurst shows every new flow of a process up to 300 a second.
+	routineBurst = 3000
 )
 
 func main() {
@@ -53,7 +56,9 @@
 		}
 		os.Exit(validator.ExitInvalid)
 	}
-	log, err := logger.NewLogger(os.Stderr, logger.Options{
+	output, closeOutput := newOutput(settings)
+	defer closeOutput()
+	log, err := logger.NewLogger(output, logger.Options{
 		Level: settings.LogLevel(), Format: settings.LogFormat(), Process: settings.Process(), Role: settings.Role(),
 		AvailabilityZone: settings.AvailabilityZone(),
 	})
@@ -61,6 +66,9 @@
 		return err
 	}
 	faults := logger.NewFaultLog(log, faultBurst, faultPeriod)
+	if settings.ServesPackets() {
+		faults.LimitRoutine(routineBurst)
+	}
 	r, err := newRunner(ctx, settings, faults.Logger())
 	if err != nil {
 		return err
@@ -86,7 +94,17 @@
 	if !settings.ServesPackets() {
 		return supervisor.NewSupervisor(settings, log)
 	}
+	store := platform.NewStore(settings.PlatformURL(), log)
 	return conductor.NewConductor(ctx, settings, conductor.Platform{
-		Source: platform.NewStore(settings.PlatformURL(), log).Source(), Codec: platform.NewCodec(), ReadyPath: platform.ReadyPath,
+		Source: store.Source(), Codec: platform.NewCodec(), ReadyPath: platform.ReadyPath, SetURL: store.SetURL,
 	}, log)
 }
+
+// newOutput returns the output of log lines. A process that forwards packets
+// writes to standard output and never waits for it.
+func newOutput(settings *parser.Settings) (io.Writer, func()) {
+	if !settings.ServesPackets() {
+		return os.Stderr, func() {}
+	}
+	return logger.NewQueue(os.Stdout)
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -60,11 +60,14 @@
 	Source    follower.Source
 	Codec     framer.Codec
 	ReadyPath string
+	// SetURL changes the address of the platform after a reload.
+	SetURL func(url string)
 }
 
 // Conductor runs one process.
 type Conductor struct {
 	settings    *parser.Settings
+	reloader    *reloader
 	platform    Platform
 	logger      zerolog.Logger
 	incarnation uint64
@@ -77,11 +80,18 @@
 	deliverer   *deliverer.Deliverer
 	isLeaving   atomic.Bool
 	self        atomic.Uint32
+	signals     chan os.Signal
 }
 
 // NewConductor binds the sockets of a process.
 func NewConductor(ctx context.Context, settings *parser.Settings, platform Platform, logger zerolog.Logger) (*Conductor, error) {
-	c := &Conductor{settings: settings, platform: platform, logger: logger, incarnation: rand.Uint64(), tracker: tracker.NewTracker(tracker.Options{})}
+	c := &Conductor{
+		settings: settings, platform: platform, logger: logger, incarnation: rand.Uint64(),
+		tracker: tracker.NewTracker(tracker.Options{}), reloader: newReloader(settings, platform.SetURL, logger),
+	}
+	// A signal that comes before the process listens to it would end it.
+	c.signals = make(chan os.Signal, 4)
+	signal.Notify(c.signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	var err error
 	if c.messenger, err = messenger.NewMessenger(messenger.Options{
 		Address: settings.ControlAddress(), IsPlain: true, Logger: logger,
@@ -98,7 +108,7 @@
 	}
 	c.chooser = chooser.NewChooser(c.signaller.IsDown, c.report)
 	c.follower = follower.NewFollower(follower.Options{
-		Source: platform.Source, Pull: c.pull, Peers: c.peers, Seeds: c.seeds(), IsReader: c.isReader, Logger: logger,
+		Source: platform.Source, Pull: c.pull, Peers: c.peers, Seeds: c.seeds, IsReader: c.isReader, Logger: logger,
 	})
 	c.follower.Subscribe(c.takeTable)
 	c.messenger.Handle(messenger.LaneControl, c.follower.Serve)
@@ -132,7 +142,7 @@
 // same port between each other.
 func (c *Conductor) seeds() []netip.Addr {
 	var seeds []netip.Addr
-	for _, s := range c.settings.Seeds() {
+	for _, s := range c.reloader.settings().Seeds() {
 		if s.Addr() != c.settings.ControlAddress().Addr() {
 			seeds = append(seeds, s.Addr())
 		}
@@ -144,9 +154,7 @@
 func (c *Conductor) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	defer signal.Stop(c.signals)
 	c.logger.Info().Uint64("incarnation", c.incarnation).Msg("process starts")
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.messenger.Run(ctx) })
@@ -167,7 +175,7 @@
 	}
 	group.Go(func() error {
 		defer cancel()
-		c.awaitStop(ctx, signals)
+		c.awaitStop(ctx)
 		return c.close()
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
@@ -185,14 +193,18 @@
 }
 
 // awaitStop returns after a planned stop or the end of the context.
-func (c *Conductor) awaitStop(ctx context.Context, signals <-chan os.Signal) {
+func (c *Conductor) awaitStop(ctx context.Context) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case s := <-signals:
+		case <-ticker.C:
+			c.reloader.check()
+		case s := <-c.signals:
 			if s == syscall.SIGHUP {
-				c.logger.Info().Msg("settings reload asked for")
+				c.reloader.check()
 				continue
 			}
 			c.leave(ctx)
@@ -203,7 +215,7 @@
 
 func (c *Conductor) leave(ctx context.Context) {
 	c.isLeaving.Store(true)
-	wait := c.settings.DrainDeadline() - stopMargin
+	wait := c.reloader.settings().DrainDeadline() - stopMargin
 	if c.deliverer != nil {
 		c.deliverer.Leave()
 		wait = min(wait, agentStop)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -35,8 +35,9 @@
 	Pull func(ctx context.Context, peer netip.Addr, after uint64) (Batch, error)
 	// Peers returns the processes heard of.
 	Peers func() []Peer
-	// Seeds are processes to ask for a table before the platform has answered.
-	Seeds []netip.Addr
+	// Seeds returns processes to ask for a table before the platform has
+	// answered.
+	Seeds func() []netip.Addr
 	// IsReader reports whether this process is one of those that watch the
 	// platform.
 	IsReader func(t *router.Table) bool
@@ -233,9 +234,9 @@
 	}
 	if newest.Revision > f.registrar.Revision() {
 		f.pull(ctx, newest.Address)
-	} else if !f.registrar.HasConfig() && len(f.options.Seeds) > 0 {
+	} else if seeds := f.options.Seeds(); !f.registrar.HasConfig() && len(seeds) > 0 {
 		f.seeded++
-		f.pull(ctx, f.options.Seeds[f.seeded%len(f.options.Seeds)])
+		f.pull(ctx, seeds[f.seeded%len(seeds)])
 	}
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -70,6 +70,7 @@
 		options := Options{
 			Source: s.source(), Peers: func() []Peer { return nil }, IsReader: func(*router.Table) bool { return true },
 			Pull:   func(context.Context, netip.Addr, uint64) (Batch, error) { return Batch{}, errDown },
+			Seeds:  func() []netip.Addr { return nil },
 			Logger: zerolog.Nop(),
 		}
 		if change != nil {
--- a/internal/logger/faults.go
+++ b/internal/logger/faults.go
@@ -26,11 +26,13 @@
 // FaultLog limits the rate of lines of each named fault and counts the lines
 // that were left out. It is safe for concurrent use.
 type FaultLog struct {
-	log    zerolog.Logger
-	burst  int
-	period time.Duration
-	mutex  sync.Mutex
-	faults map[string]*faultState
+	log   zerolog.Logger
+	burst int
+	// routineBurst bounds the lines of each message at level info; 0 does not.
+	routineBurst int
+	period       time.Duration
+	mutex        sync.Mutex
+	faults       map[string]*faultState
 }
 
 // NewFaultLog returns a log that writes at most burst lines of each fault in
@@ -39,7 +41,11 @@
 	return &FaultLog{log: log, burst: burst, period: period, faults: make(map[string]*faultState)}
 }
 
-func (f *FaultLog) admit(fault string, now time.Time) (ok bool, before int64) {
+// LimitRoutine bounds the lines of each message at level info to burst in each
+// period. It is called before the logger is used.
+func (f *FaultLog) LimitRoutine(burst int) { f.routineBurst = burst }
+
+func (f *FaultLog) admit(fault string, burst int, now time.Time) (ok bool, before int64) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	s := f.faults[fault]
@@ -54,7 +60,7 @@
 	if now.Sub(s.windowStart) >= f.period {
 		s.windowStart, s.written = now, 0
 	}
-	if s.written >= f.burst {
+	if s.written >= burst {
 		s.leftOut++
 		return false, 0
 	}
@@ -68,10 +74,13 @@
 func (f *FaultLog) Logger() zerolog.Logger { return f.log.Hook(zerolog.HookFunc(f.limit)) }
 
 func (f *FaultLog) limit(e *zerolog.Event, level zerolog.Level, message string) {
-	if level < zerolog.WarnLevel {
+	burst := f.burst
+	if level == zerolog.InfoLevel && f.routineBurst > 0 {
+		burst = f.routineBurst
+	} else if level < zerolog.WarnLevel {
 		return
 	}
-	ok, before := f.admit(message, time.Now())
+	ok, before := f.admit(message, burst, time.Now())
 	if !ok {
 		leftOut.Inc()
 		e.Discard()
--- a/internal/logger/logger_test.go
+++ b/internal/logger/logger_test.go
@@ -98,6 +98,19 @@
 			is.Equal(all[len(all)-1]["left_out"], float64(8))
 		})
 	})
+	// Guards against a log whose volume follows the traffic.
+	t.Run("routine lines are limited when a bound is set", func(t *testing.T) {
+		is := is.New(t)
+		f, out := newTestLog(t, "info")
+		f.LimitRoutine(5)
+		log := f.Logger()
+		for range 100 {
+			log.Info().Msg("flow placed")
+			log.Warn().Msg("refused")
+		}
+		f.Flush()
+		is.Equal(len(lines(t, out)), 5+2+2)
+	})
 	t.Run("one fault does not silence another", func(t *testing.T) {
 		is := is.New(t)
 		f, out := newTestLog(t, "info")
@@ -128,3 +141,29 @@
 		is.Equal(len(f.faults), maxFaults+1) // the last one is shared by the rest
 	})
 }
+
+// blocked is an output that never takes a line.
+type blocked struct{ release chan struct{} }
+
+func (b blocked) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+func TestQueue(t *testing.T) {
+	// Guards against packets that wait for a full pipe of the log.
+	t.Run("a blocked output loses lines with a count and delays nobody", func(t *testing.T) {
+		is := is.New(t)
+		output := blocked{release: make(chan struct{})}
+		before := queueLost.Get()
+		queue, closeQueue := NewQueue(output)
+		log, err := NewLogger(queue, Options{Level: "info"})
+		is.NoErr(err)
+		for range 3 * queueLines {
+			log.Info().Msg("flow placed")
+		}
+		close(output.release)
+		closeQueue()
+		is.True(queueLost.Get() > before)
+	})
+}
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -91,6 +91,8 @@
 	document  settingsDocument
 	positions *Positions
 	directory string
+	path      string
+	content   []byte
 }
 
 // ParseSettings reads a settings file. Names of other files in it are relative
@@ -106,7 +108,7 @@
 
 // ParseSettingsContent parses the content of a settings file named path.
 func ParseSettingsContent(path string, content []byte) (*Settings, error) {
-	s := &Settings{directory: filepath.Dir(path)}
+	s := &Settings{directory: filepath.Dir(path), path: path, content: content}
 	var err error
 	if s.positions, err = decode(path, content, &s.document); err != nil {
 		return nil, err
@@ -114,6 +116,13 @@
 	return s, nil
 }
 
+// Path returns the name of the settings file.
+func (s *Settings) Path() string { return s.path }
+
+// Content returns the settings file as it was read. The caller must not change
+// it.
+func (s *Settings) Content() []byte { return s.content }
+
 // Positions returns the places of the keys and the faults of shape.
 func (s *Settings) Positions() *Positions { return s.positions }
 
--- /dev/null
+++ b/internal/router/table_test.go
@@ -0,0 +1,78 @@
+package router
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+)
+
+var published = netip.MustParseAddrPort("198.18.0.1:443")
+
+func newTable(shares []Share, targets ...Target) (*Table, *Route) {
+	t := NewTable(Config{Version: 1, Routes: []Route{{Address: published, Shares: shares}}}, targets, 1)
+	route, _ := t.Route(published)
+	return t, route
+}
+
+func all(uint32, *Target, bool) bool { return true }
+
+func TestSearch(t *testing.T) {
+	feeds, bundles := Target{ID: "a", Service: "feeds"}, Target{ID: "b", Service: "bundles"}
+	// Guards against packets of one service at a target of another.
+	t.Run("only services of the route are visited", func(t *testing.T) {
+		is := is.New(t)
+		table, route := newTable([]Share{{Service: "feeds", Weight: 1}}, feeds, bundles)
+		for key := range uint64(50) {
+			hop, ok := table.Search(route, key, framer.Mark{Progress: framer.StartProgress}, all)
+			is.True(ok)
+			is.Equal(hop.Target.Service, "feeds")
+		}
+	})
+	// Guards against flows that are lost after a change of the weights.
+	t.Run("a search visits every service of the route, in both passes, and ends", func(t *testing.T) {
+		is := is.New(t)
+		table, route := newTable([]Share{{Service: "feeds", Weight: 1}, {Service: "bundles", Weight: 0}}, feeds, bundles)
+		mark, visits := framer.Mark{Progress: framer.StartProgress}, map[bool]int{}
+		for {
+			hop, ok := table.Search(route, 5, mark, all)
+			if !ok {
+				break
+			}
+			visits[hop.Mark.IsSecondPass()]++
+			mark = hop.Mark
+		}
+		is.Equal(visits, map[bool]int{false: 2, true: 2})
+	})
+	t.Run("a mark keeps the balancer and the hops", func(t *testing.T) {
+		is := is.New(t)
+		table, route := newTable([]Share{{Service: "feeds", Weight: 1}}, feeds)
+		via := netip.MustParseAddr("10.0.0.1")
+		hop, _ := table.Search(route, 5, framer.Mark{Progress: framer.StartProgress, Via: via, Hops: 4}, all)
+		is.Equal(hop.Mark.Via, via)
+		is.Equal(hop.Mark.Hops, uint8(4))
+	})
+	t.Run("new flows follow the weights", func(t *testing.T) {
+		is := is.New(t)
+		_, route := newTable([]Share{{Service: "feeds", Weight: 90}, {Service: "bundles", Weight: 10}})
+		count := 0
+		for key := range uint64(10_000) {
+			if route.ServiceOf(key*0x9e3779b97f4a7c15) == "bundles" {
+				count++
+			}
+		}
+		is.True(count > 900 && count < 1100) // 4 standard deviations of a share of 0.1 are 120
+		route.Shares[1].Weight = 0
+		is.Equal(route.ServiceOf(3), "feeds")
+	})
+	t.Run("the last entry of an address is found", func(t *testing.T) {
+		is := is.New(t)
+		a := netip.MustParseAddrPort("10.0.0.1:80")
+		table, _ := newTable(nil, Target{ID: "a", Address: a, Revision: 3}, Target{ID: "b", Address: a, Revision: 4})
+		_, target, ok := table.TargetAt(a)
+		is.True(ok)
+		is.Equal(target.ID, "b")
+	})
+}
--- /dev/null
+++ b/internal/validator/packets_test.go
@@ -0,0 +1,70 @@
+package validator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"kingcupvalve.example/kingcupvalve/internal/parser"
+)
+
+const packetSettings = `role: agent
+process: agent-1
+availability_zone: howrah
+region: bengal-south
+control_address: 10.1.0.12:7720
+platform_url: http://10.200.1.7:8169
+seeds: ["10.1.0.10:8166"]
+drain:
+  deadline: 6s
+packets:
+  address: 10.1.0.12:8172
+  ready_address: 10.1.0.12:8167
+  outbound_address: 10.1.0.12:8162
+  backend_address: 10.1.0.12:8165
+  service: huvo11a
+`
+
+func validatePackets(t *testing.T, old, replacement string) []Problem {
+	t.Helper()
+	text := strings.Replace(packetSettings, old, replacement, 1)
+	settings, err := parser.ParseSettingsContent("agent.yaml", []byte(text))
+	is.New(t).NoErr(err)
+	return ValidateSettings(settings)
+}
+
+func TestPacketSettings(t *testing.T) {
+	t.Run("complete settings are valid", func(t *testing.T) {
+		is.New(t).Equal(len(validatePackets(t, "", "")), 0)
+	})
+	// Guards against a process that does not start where the platform's grace is
+	// no longer than the default announcement of the other way of serving (soak,
+	// seed 1).
+	t.Run("a short drain deadline is valid", func(t *testing.T) {
+		is.New(t).Equal(len(validatePackets(t, "deadline: 6s", "deadline: 1s")), 0)
+	})
+	for _, c := range []struct{ name, old, replacement, message string }{
+		{"a missing address", "  address: 10.1.0.12:8172\n", "", "packets.address: missing"},
+		{"an address that is none", "10.1.0.12:8172", "here", "packets.address: bad value"},
+		{"a service that is missing", "  service: huvo11a\n", "", "packets.service"},
+		{"a balancer with a backend server", "role: agent", "role: balancer", "only with role agent"},
+		{"an unknown key", "  service:", "  servce:", "service"},
+		{"sections of the other way of serving", "packets:", "tunnel_mtu: 1500\npackets:", "only without packets"},
+		{"a seed twice", `["10.1.0.10:8166"]`, `["10.1.0.10:8166", "10.1.0.10:8166"]`, "seeds[1]"},
+	} {
+		t.Run(c.name+" is refused with its place", func(t *testing.T) {
+			is := is.New(t)
+			problems := validatePackets(t, c.old, c.replacement)
+			is.True(len(problems) > 0)
+			text := ""
+			for _, p := range problems {
+				text += p.String() + "\n"
+			}
+			is.True(strings.HasPrefix(text, "agent.yaml:"))
+			if !strings.Contains(text, c.message) {
+				t.Errorf("%q lacks %q", text, c.message)
+			}
+		})
+	}
+}
--- a/internal/validator/settings.go
+++ b/internal/validator/settings.go
@@ -174,7 +174,7 @@
 			valid = false
 		}
 	}
-	if valid && c.settings.HasDrainDeadline() && c.settings.AnnounceGrace() >= c.settings.DrainDeadline() {
+	if valid && !c.settings.ServesPackets() && c.settings.HasDrainDeadline() && c.settings.AnnounceGrace() >= c.settings.DrainDeadline() {
 		c.add("drain.deadline", parser.FaultConflict, c.text("drain.deadline"),
 			fmt.Sprintf("more than drain.announce_grace, which is %s", c.settings.AnnounceGrace()))
 	}
--- /dev/null
+++ b/standin/cmd/soak/main.go
@@ -0,0 +1,79 @@
+// Command soak runs the real programs of packet flows under random faults and
+// checks the promises. It exits with status 1 when one is broken.
+//
+// # Usage
+//
+//	soak -program bin/kingcupvalved -seed 7 -seeds 3 -length 20s
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"kingcupvalve.example/kingcupvalve/standin/soaker"
+)
+
+func main() {
+	program := flag.String("program", "bin/kingcupvalved", "daemon to run")
+	seed := flag.Uint64("seed", 1, "first seed")
+	seeds := flag.Int("seeds", 1, "number of seeds")
+	length := flag.Duration("length", 15*time.Second, "time with faults for each seed")
+	dir := flag.String("dir", "out/soak", "folder of settings and logs")
+	feeds := flag.Int("feeds", 4, "targets of the first service; the others follow in proportion")
+	flag.Parse()
+	isBroken := false
+	for i := range *seeds {
+		ok, err := soak(*program, *seed+uint64(i), *length, *dir, *feeds)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		isBroken = isBroken || !ok
+	}
+	if isBroken {
+		os.Exit(1)
+	}
+}
+
+func soak(program string, seed uint64, length time.Duration, root string, feeds int) (bool, error) {
+	dir, err := filepath.Abs(filepath.Join(root, fmt.Sprint("seed-", seed)))
+	if err != nil {
+		return false, err
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return false, err
+	}
+	s, err := soaker.NewSoak(soaker.Options{
+		Program: program, Seed: seed, Length: length, Dir: dir,
+		Balancers: max(2, feeds/2), Feeds: feeds, Bundles: max(2, feeds/2),
+	})
+	if err != nil {
+		return false, err
+	}
+	report, err := s.Run(context.Background())
+	if err != nil {
+		return false, err
+	}
+	all, answered, calm := report.Requests()
+	line := map[string]any{
+		"seed": seed, "requests": all, "answered": answered, "calm": calm, "violations": len(report.Violations()), "dir": dir,
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+		return false, err
+	}
+	if len(report.Violations()) == 0 {
+		return true, nil
+	}
+	for _, e := range report.Events() {
+		fmt.Println("event:", e)
+	}
+	for _, v := range report.Violations() {
+		fmt.Println("violation:", v)
+	}
+	return false, nil
+}
--- a/standin/launcher/node.go
+++ b/standin/launcher/node.go
@@ -22,7 +22,7 @@
 	if err := f.writeSettings(n); err != nil {
 		return err
 	}
-	p, err := startProcess(f.dir, n.name, f.program("kingcupvalved"), "--settings", n.name+".yaml")
+	p, err := StartProcess(f.dir, n.name, f.program("kingcupvalved"), "--settings", n.name+".yaml")
 	if err != nil {
 		return err
 	}
--- a/standin/launcher/process.go
+++ b/standin/launcher/process.go
@@ -22,9 +22,9 @@
 	logFile *os.File
 }
 
-// startProcess starts a program with its output in dir/NAME.log. The kernel
+// StartProcess starts a program with its output in dir/NAME.log. The kernel
 // ends the program when this process dies, so that none is left behind.
-func startProcess(dir, name, program string, args ...string) (*Process, error) {
+func StartProcess(dir, name, program string, args ...string) (*Process, error) {
 	logFile, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, fmt.Errorf("create log of %s: %w", name, err)
