Explain a packet flow from the logs of several processes

Cause: on-call engineers have only logs. Lines now name targets, liveness, the platform's loss and return, and each placement with table version and age; kingcupvalvectl explain orders them and names the outcome.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -129,7 +129,7 @@
 				Commands: []*cli.Command{c.checkCommand(), c.diffCommand(), c.explainCommand(), c.publishableCommand()},
 				Action:   requireCommand,
 			},
-			c.statusCommand(), c.targetsCommand(), c.flowsCommand(), c.drainCommand(),
+			c.statusCommand(), c.targetsCommand(), c.flowsCommand(), c.drainCommand(), c.storyCommand(),
 			{Name: "report", Usage: "reports over daemons", Commands: []*cli.Command{c.burnCommand()}, Action: requireCommand},
 		},
 		Action: requireCommand,
--- /dev/null
+++ b/internal/commander/story.go
@@ -0,0 +1,76 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/urfave/cli/v3"
+
+	"kingcupvalve.example/kingcupvalve/internal/explainer"
+)
+
+// storyTime shows milliseconds, since a flow passes several processes within
+// one.
+const storyTime = "15:04:05.000"
+
+// storyView is the JSON form of a story.
+type storyView struct {
+	Flow       string           `json:"flow"`
+	Conclusion string           `json:"conclusion"`
+	Unreadable int              `json:"unreadable_lines"`
+	Lines      []explainer.Line `json:"lines"`
+}
+
+func (c *Commander) storyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "tell from logs what happened to a packet flow", ArgsUsage: "CALLER_ADDRESS:PORT LOG...",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			arguments, err := requireArguments(cmd, 2, -1)
+			if err != nil {
+				return err
+			}
+			return c.explainFlow(arguments[0], arguments[1:])
+		},
+	}
+}
+
+func (c *Commander) explainFlow(flow string, paths []string) error {
+	if _, err := netip.ParseAddrPort(flow); err != nil {
+		return merry.Prepend(err, "read the caller's address")
+	}
+	var logs []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return merry.Prepend(err, "open log")
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	story, err := explainer.Explain(flow, logs)
+	if err != nil {
+		return err
+	}
+	view := storyView{Flow: flow, Conclusion: story.Conclusion(), Unreadable: story.Unreadable(), Lines: story.Lines()}
+	return c.out.write(view, func() error { return c.writeStory(view) })
+}
+
+func (c *Commander) writeStory(view storyView) error {
+	var rows []table.Row
+	for _, l := range view.Lines {
+		rows = append(rows, table.Row{l.Time.In(c.options.Location).Format(storyTime), l.Process, l.Message, l.Detail()})
+	}
+	if err := c.out.table(table.Row{"TIME", "PROCESS", "MESSAGE", "DETAIL"}, rows); err != nil {
+		return err
+	}
+	if view.Unreadable > 0 {
+		if err := c.out.line("%d lines could not be read", view.Unreadable); err != nil {
+			return err
+		}
+	}
+	return c.out.line("%s", view.Conclusion)
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -81,6 +81,8 @@
 	isLeaving   atomic.Bool
 	self        atomic.Uint32
 	signals     chan os.Signal
+	// silentSince belongs to the goroutine of tick.
+	silentSince time.Time
 }
 
 // NewConductor binds the sockets of a process.
@@ -220,7 +222,7 @@
 		c.deliverer.Leave()
 		wait = min(wait, agentStop)
 	}
-	c.logger.Info().Dur("duration", wait).Msg("process leaves")
+	c.logger.Info().Dur("duration_ms", wait).Msg("process leaves")
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
@@ -240,11 +242,25 @@
 			c.signaller.Tick(now)
 			if c.deliverer != nil {
 				c.tracker.Tick(now, 0)
+				c.noteTarget(now)
 			}
 		}
 	}
 }
 
+// noteTarget writes a line when the own target stops or begins to answer.
+func (c *Conductor) noteTarget(now time.Time) {
+	isSilent := c.tracker.Load(now).IsSilent
+	switch {
+	case isSilent && c.silentSince.IsZero():
+		c.silentSince = now
+		c.logger.Warn().Msg("own target does not answer")
+	case !isSilent && !c.silentSince.IsZero():
+		c.logger.Info().Dur("duration_ms", now.Sub(c.silentSince)).Msg("own target answers again")
+		c.silentSince = time.Time{}
+	}
+}
+
 // serveHTTP answers readiness checks and serves metrics.
 func (c *Conductor) serveHTTP(ctx context.Context) error {
 	ready := http.NewServeMux()
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -171,9 +171,10 @@
 
 func (d *Deliverer) logPlaced(table *router.Table, p framer.Packet, now time.Time) {
 	load := d.options.Tracker.Load(now)
-	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Uint32("copy", p.Acknowledged).
+	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Uint32("copy", p.Acknowledged).
 		Int("running", load.Running).Int("flows", load.Flows).Uint8("hops", p.Mark.Hops).
-		Bool("second_pass", p.Mark.IsSecondPass()).Uint64("version", table.Version()).Msg("flow placed")
+		Bool("second_pass", p.Mark.IsSecondPass()).Uint64("version", table.Version()).
+		Dur("table_age_ms", d.options.TableAge(now)).Msg("flow placed")
 }
 
 // takesOpening decides whether the own target gets a new flow. The agent knows
@@ -266,8 +267,8 @@
 	exhausted.Inc()
 	age := d.options.TableAge(now)
 	isOrphan := !p.Opens && !p.Resets && p.Mark.Hops < maxHops && age < currentFor
-	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
-		Bool("reset", isOrphan).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age", age).
+	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.Opens).
+		Bool("reset", isOrphan).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age_ms", age).
 		Msg("no target left for packet")
 	if !isOrphan {
 		return
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,79 @@
+package explainer
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const flow = "100.64.0.7:40001"
+
+func line(ms int, process, message, fields string) string {
+	return fmt.Sprintf(`{"level":"info","process":%q,"time":"2026-12-04T10:00:00.%03dZ","message":%q%s}`, process, ms, message, fields)
+}
+
+func own(ms int, process, message, fields string) string {
+	return line(ms, process, message, `,"caller":"`+flow+`"`+fields)
+}
+
+func explain(t *testing.T, logs ...string) *Story {
+	t.Helper()
+	var readers []io.Reader
+	for _, l := range logs {
+		readers = append(readers, strings.NewReader(l))
+	}
+	s, err := Explain(flow, readers)
+	is.New(t).NoErr(err)
+	return s
+}
+
+func TestConclusion(t *testing.T) {
+	for _, c := range []struct{ name, logs, want string }{
+		{"a flow that nobody saw", line(1, "b", "flow placed", `,"caller":"100.64.0.7:1"`), "reached no live balancer"},
+		{"a forwarded flow that no agent saw", own(1, "b", "flow forwarded", ""), "no agent received it"},
+		{"a flow that no target took", own(1, "a", "no target left for packet", `,"reset":false`), "no target took the flow"},
+		{"a placed flow", own(1, "a", "flow placed", ""), "caller, the target or the network"},
+		{"a flow whose agent stopped", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "process leaves", ""), "lost or left afterwards"},
+		{"a flow whose target fell silent", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "own target does not answer", ""), "lost or left afterwards"},
+		{"a flow placed twice", own(1, "a", "flow placed", "") + "\n" + own(200, "c", "flow placed", ""), "did not answer its opening packets"},
+		{"a flow without a route", own(1, "b", "flow reset", `,"reason":"no route"`), "reset by b: no route"},
+		{"a flow that no target held", own(1, "a", "no target left for packet", `,"reset":true`), "no target held it"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := explain(t, c.logs).Conclusion(); !strings.Contains(got, c.want) {
+				t.Errorf("%q lacks %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestStory(t *testing.T) {
+	t.Run("lines of several logs are ordered by time, damaged ones are counted", func(t *testing.T) {
+		is := is.New(t)
+		s := explain(t, own(20, "a", "flow placed", "")+"\n{\"cut", "  12.3 b "+own(10, "b", "flow forwarded", "")+"\nno json\n")
+		is.Equal(s.Unreadable(), 2)
+		is.Equal(len(s.Lines()), 2)
+		is.Equal(s.Lines()[0].Process, "b")
+		is.Equal(s.Lines()[0].Detail(), "caller="+flow)
+	})
+	t.Run("only the flow's processes and time give background", func(t *testing.T) {
+		is := is.New(t)
+		s := explain(t, own(1, "a", "flow placed", "")+"\n"+line(5, "z", "process leaves", "")+"\n"+line(6, "a", "platform lost", ""))
+		is.Equal(len(s.Lines()), 2)
+		is.True(s.Lines()[1].IsBackground)
+	})
+}
+
+func FuzzExplain(f *testing.F) {
+	f.Add([]byte(own(1, "a", "flow placed", "")))
+	f.Add([]byte("{"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Explain(flow, []io.Reader{strings.NewReader(string(b))})
+		if err == nil && s.Conclusion() == "" {
+			t.Fatal("no conclusion")
+		}
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
@@ -28,6 +30,11 @@
 	pullPause = 300 * time.Millisecond
 )
 
+var (
+	readsDone   = metrics.GetOrCreateCounter(`kingcupvalve_follower_reads_total{result="done"}`)
+	readsFailed = metrics.GetOrCreateCounter(`kingcupvalve_follower_reads_total{result="failed"}`)
+)
+
 // Options configures a Follower.
 type Options struct {
 	Source Source
@@ -64,7 +71,9 @@
 	listeners   []func(t *router.Table)
 	lastTick    time.Time
 	isReading   bool
-	reads       sync.WaitGroup
+	// lostAt is when the platform stopped answering, zero while it answers.
+	lostAt time.Time
+	reads  sync.WaitGroup
 }
 
 type result struct {
@@ -148,11 +157,14 @@
 	if r.peer.IsValid() {
 		f.pulling = false
 	}
+	if !r.peer.IsValid() {
+		f.noteAnswer(r.err, now)
+	}
 	if r.err != nil {
 		if r.peer.IsValid() {
 			f.pullAfter = now.Add(pullPause)
 		}
-		f.options.Logger.Warn().Err(r.err).Str("source", r.source).Dur("table_age", f.Age(now)).Msg("table not read")
+		f.options.Logger.Warn().Err(r.err).Str("source", r.source).Dur("table_age_ms", f.Age(now)).Msg("table not read")
 		return
 	}
 	before := f.registrar.Revision()
@@ -173,6 +185,40 @@
 		f.publish(now)
 		f.options.Logger.Info().Str("source", r.source).Uint64("revision", f.registrar.Revision()).
 			Uint64("version", f.Table().Version()).Int("changes", len(r.batch.Changes)).Msg("table updated")
+		f.logTargets(r.batch.Changes, before)
+	}
+}
+
+// noteAnswer records whether the platform answers.
+func (f *Follower) noteAnswer(err error, now time.Time) {
+	switch {
+	case err != nil && !errors.Is(err, ErrCompacted):
+		readsFailed.Inc()
+		if f.lostAt.IsZero() {
+			f.lostAt = now
+			f.options.Logger.Warn().Err(err).Dur("table_age_ms", f.Age(now)).Msg("platform lost")
+		}
+	case !f.lostAt.IsZero():
+		f.options.Logger.Info().Dur("duration_ms", now.Sub(f.lostAt)).Msg("platform regained")
+		f.lostAt = time.Time{}
+	default:
+		readsDone.Inc()
+	}
+}
+
+// logTargets writes a line for each target that changed after a revision.
+func (f *Follower) logTargets(changes []registrar.Change, after uint64) {
+	for _, c := range changes {
+		if c.Revision <= after || c.Config != nil {
+			continue
+		}
+		event := f.options.Logger.Info().Str("key", c.Key).Uint64("revision", c.Revision)
+		if t := c.Target; t != nil {
+			event = event.Str("service", t.Service).Stringer("address", t.Address).Stringer("state", t.State)
+		} else {
+			event = event.Str("state", "unlisted")
+		}
+		event.Msg("target changed")
 	}
 }
 
@@ -206,7 +252,7 @@
 	reads := !f.registrar.HasConfig() || f.Age(now) > staleAfter || f.options.IsReader(f.Table())
 	if reads != f.isReading {
 		f.isReading = reads
-		f.options.Logger.Info().Bool("reads", reads).Dur("table_age", f.Age(now)).Msg("reading of the platform changed")
+		f.options.Logger.Info().Bool("reads", reads).Dur("table_age_ms", f.Age(now)).Msg("reading of the platform changed")
 	}
 	f.wanted.Store(reads)
 	if reads {
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -22,6 +22,12 @@
 	"github.com/rs/zerolog"
 )
 
+// timeFormat has milliseconds, since a flow passes several processes within
+// one.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // Formats of log lines.
 const (
 	FormatJSON    = "json"
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
@@ -45,6 +46,8 @@
 	maxDatagram = 1500
 )
 
+var agentsLost = metrics.GetOrCreateCounter("kingcupvalve_signaller_agents_lost_total")
+
 // Options configures a Signaller.
 type Options struct {
 	// Address is the UDP address to bind. All processes use its port.
@@ -79,10 +82,12 @@
 	conn     *net.UDPConn
 	detector *detector.Detector
 	agents   map[uint32]netip.Addr
-	lastSent time.Time
-	lock     sync.RWMutex
-	peers    map[netip.Addr]Peer
-	targets  map[uint32]Peer
+	// downSince has the agents that did not answer at the last tick.
+	downSince map[uint32]time.Time
+	lastSent  time.Time
+	lock      sync.RWMutex
+	peers     map[netip.Addr]Peer
+	targets   map[uint32]Peer
 }
 
 // NewSignaller binds the socket.
@@ -98,7 +103,7 @@
 			Epoch: time.Now(), UnansweredAfter: unansweredAfter, ProbeInterval: probeInterval, ProbeLimit: probeLimit,
 			DownInterval: downInterval,
 		}),
-		peers: make(map[netip.Addr]Peer), targets: make(map[uint32]Peer),
+		downSince: make(map[uint32]time.Time), peers: make(map[netip.Addr]Peer), targets: make(map[uint32]Peer),
 	}, nil
 }
 
@@ -151,6 +156,7 @@
 		s.forgetSilent(now)
 	}
 	probes := s.detector.Tick(now)
+	s.noteLiveness(now)
 	if len(probes) == 0 {
 		return
 	}
@@ -160,6 +166,28 @@
 	}
 }
 
+// noteLiveness writes a line for each agent that stopped or began to answer.
+func (s *Signaller) noteLiveness(now time.Time) {
+	for n, address := range s.agents {
+		since, wasDown := s.downSince[n]
+		switch isDown := s.detector.IsDown(n); {
+		case isDown && !wasDown:
+			s.downSince[n] = now
+			agentsLost.Inc()
+			s.options.Logger.Warn().Uint32("target", n).Stringer("address", address).Msg("agent does not answer")
+		case !isDown && wasDown:
+			delete(s.downSince, n)
+			s.options.Logger.Info().Uint32("target", n).Stringer("address", address).Dur("duration_ms", now.Sub(since)).
+				Msg("agent answers again")
+		}
+	}
+	for n := range s.downSince {
+		if _, ok := s.agents[n]; !ok {
+			delete(s.downSince, n)
+		}
+	}
+}
+
 func (s *Signaller) forgetSilent(now time.Time) {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -139,10 +139,10 @@
 		return
 	}
 	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: s.options.Address.Addr()}
-	hop, ok := s.place(table, route, p)
+	hop, ok := s.place(table, route, p, now)
 	if !ok {
 		untargeted.Inc()
-		s.options.Logger.Warn().Stringer("caller", p.Source).Stringer("published", p.Destination).Bool("opens", p.Opens).
+		s.options.Logger.Warn().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.Opens).
 			Uint64("version", table.Version()).Msg("no target for packet")
 		return
 	}
@@ -152,13 +152,17 @@
 	forwarded.Inc()
 }
 
-func (s *Steerer) place(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+func (s *Steerer) place(table *router.Table, route *router.Route, p framer.Packet, now time.Time) (router.Hop, bool) {
 	key := p.Key()
 	if p.Opens {
 		hop, ok := s.placeOpening(table, route, key, p)
 		if ok {
 			opened.Inc()
 			s.hints.Add(key, hop.Number)
+			s.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
+				Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.Acknowledged).
+				Bool("second_pass", hop.Mark.IsSecondPass()).Uint64("version", table.Version()).
+				Dur("table_age_ms", s.options.TableAge(now)).Msg("flow forwarded")
 		}
 		return hop, ok
 	}
@@ -196,6 +200,6 @@
 	to := batcher.NewAddress(netip.AddrPortFrom(p.Source.Addr(), s.options.Address.Port()))
 	writer.Add(b, &to)
 	resetsSent.Inc()
-	s.options.Logger.Info().Stringer("caller", p.Source).Stringer("published", p.Destination).Str("reason", reason).
-		Uint64("version", table.Version()).Dur("table_age", age).Msg("flow reset")
+	s.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Str("reason", reason).
+		Uint64("version", table.Version()).Dur("table_age_ms", age).Msg("flow reset")
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 )
 
@@ -26,6 +28,9 @@
 	silenceLimit = 250 * time.Millisecond
 )
 
+// answerTime is the time from a caller's data to the target's.
+var answerTime = metrics.GetOrCreateHistogram("kingcupvalve_tracker_answer_seconds")
+
 // Options configures a Tracker. Zero fields take the defaults.
 type Options struct {
 	MaxFlows int
@@ -134,6 +139,9 @@
 		}
 	}
 	if p.Length > 0 {
+		if f.waiting {
+			answerTime.Update(now.Sub(f.waitingSince).Seconds())
+		}
 		t.setWaiting(f, false)
 	}
 	if p.Resets {
