Judge targets by the times of their answers

An agent now compares answer times with its target's own past for the same route; a suspect target gets new flows only when all others are full.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -22,10 +22,14 @@
 	Slots     int
 	IsLeaving bool
 	IsSilent  bool
+	// IsSuspect is set when the target answers much sooner or later than usual.
+	IsSuspect bool
 }
 
-// HasFreeSlot reports whether a request would run at once.
-func (r Report) HasFreeSlot() bool { return r.Slots == 0 || r.Running < r.Slots }
+// HasFreeSlot reports whether a request would run at once. The slots of a
+// suspect target count as taken, so that it gets work only when all others
+// are full.
+func (r Report) HasFreeSlot() bool { return !r.IsSuspect && (r.Slots == 0 || r.Running < r.Slots) }
 
 // HasRoom reports whether a target takes an opening packet although no target
 // has a free slot. A copy of one belongs to a request that is late already, so
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -35,6 +35,8 @@
 		{"an agent that does not answer", &serving, true, Report{Slots: 2}, true, false, false},
 		{"an agent that leaves", &serving, false, Report{Slots: 2, IsLeaving: true}, true, false, false},
 		{"a target that does not answer", &serving, false, Report{Slots: 2, IsSilent: true}, true, false, false},
+		// Guards against a target that fails at once and attracts every new flow.
+		{"a suspect target", &serving, false, Report{Slots: 2, IsSuspect: true}, true, false, true},
 		{"a draining target", with(func(t *router.Target) { t.State = router.Draining }), false, Report{}, true, false, false},
 		{"a target that is gone", with(func(t *router.Target) { t.State = router.Gone }), false, Report{}, true, false, false},
 		{"a lapsed target that answers", with(func(t *router.Target) { t.State = router.Lapsed }), false, Report{}, true, true, true},
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -81,16 +81,18 @@
 	isLeaving   atomic.Bool
 	self        atomic.Uint32
 	signals     chan os.Signal
-	// silentSince belongs to the goroutine of tick.
+	// silentSince and isSuspect belong to the goroutine of tick.
 	silentSince time.Time
+	isSuspect   bool
 }
 
 // NewConductor binds the sockets of a process.
 func NewConductor(ctx context.Context, settings *parser.Settings, platform Platform, logger zerolog.Logger) (*Conductor, error) {
 	c := &Conductor{
 		settings: settings, platform: platform, logger: logger, incarnation: rand.Uint64(),
-		tracker: tracker.NewTracker(tracker.Options{}), reloader: newReloader(settings, platform.SetURL, logger),
+		reloader: newReloader(settings, platform.SetURL, logger),
 	}
+	c.tracker = tracker.NewTracker(tracker.Options{Slots: c.slots})
 	// A signal that comes before the process listens to it would end it.
 	c.signals = make(chan os.Signal, 4)
 	signal.Notify(c.signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
@@ -250,7 +252,12 @@
 
 // noteTarget writes a line when the own target stops or begins to answer.
 func (c *Conductor) noteTarget(now time.Time) {
-	isSilent := c.tracker.Load(now).IsSilent
+	load := c.tracker.Load(now)
+	if load.IsSuspect != c.isSuspect {
+		c.isSuspect = load.IsSuspect
+		c.logger.Warn().Bool("suspect", load.IsSuspect).Int("running", load.Running).Msg("suspicion of own target changed")
+	}
+	isSilent := load.IsSilent
 	switch {
 	case isSilent && c.silentSince.IsZero():
 		c.silentSince = now
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -26,13 +26,19 @@
 	}
 	b.Target = c.self.Load()
 	load := c.tracker.Load(now)
-	b.Running, b.Flows, b.Silent = uint32(max(0, load.Running)), uint32(load.Flows), load.IsSilent
-	if t, ok := c.follower.Table().Target(b.Target); ok {
-		b.Slots = uint32(t.Slots)
-	}
+	b.Running, b.Flows, b.Silent, b.Suspect = uint32(max(0, load.Running)), uint32(load.Flows), load.IsSilent, load.IsSuspect
+	b.Slots = uint32(c.slots())
 	return b
 }
 
+// slots returns the slots of the own target, 0 while they are not known.
+func (c *Conductor) slots() int {
+	if t, ok := c.follower.Table().Target(c.self.Load()); ok {
+		return t.Slots
+	}
+	return 0
+}
+
 func (c *Conductor) takeHint(flow uint64, target uint32) {
 	if c.steerer != nil {
 		c.steerer.AddHint(flow, target)
@@ -41,7 +47,9 @@
 
 func (c *Conductor) report(target uint32) (chooser.Report, bool) {
 	p, ok := c.signaller.Target(target)
-	return chooser.Report{Running: p.Running, Slots: p.Slots, IsLeaving: p.IsLeaving, IsSilent: p.IsSilent}, ok
+	return chooser.Report{
+		Running: p.Running, Slots: p.Slots, IsLeaving: p.IsLeaving, IsSilent: p.IsSilent, IsSuspect: p.IsSuspect,
+	}, ok
 }
 
 func (c *Conductor) peers() []follower.Peer {
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -198,7 +198,7 @@
 	if load.IsSilent {
 		return d.options.Tracker.TryProbe(now)
 	}
-	report := chooser.Report{Running: load.Running, Slots: target.Slots}
+	report := chooser.Report{Running: load.Running, Slots: target.Slots, IsSuspect: load.IsSuspect}
 	if p.Mark.IsSecondPass() {
 		return report.HasRoom(p.Acknowledged > 0)
 	}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -45,7 +45,8 @@
 // backgroundMessages change what a process believes or whether it serves.
 var backgroundMessages = []string{
 	"process starts", "process leaves", "process stops", "platform lost", "platform regained", "agent does not answer",
-	"agent answers again", "own target does not answer", "own target answers again", "target changed", "settings reloaded",
+	"agent answers again", "own target does not answer", "own target answers again", "target changed",
+	"suspicion of own target changed", "settings reloaded",
 }
 
 // Line is one log line of a story.
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -72,6 +72,7 @@
 	Flows       int
 	IsLeaving   bool
 	IsSilent    bool
+	IsSuspect   bool
 	HeardAt     time.Time
 }
 
@@ -260,7 +261,7 @@
 		Address: from, Process: b.GetProcess(), Incarnation: b.GetIncarnation(), Target: b.GetTarget(), Revision: b.GetRevision(),
 		ConfirmedAt: now.Add(-time.Duration(b.GetConfirmedAgeMs()) * time.Millisecond),
 		Running:     int(b.GetRunning()), Slots: int(b.GetSlots()), Flows: int(b.GetFlows()), IsLeaving: b.GetLeaving(),
-		IsSilent: b.GetSilent(), HeardAt: now,
+		IsSilent: b.GetSilent(), IsSuspect: b.GetSuspect(), HeardAt: now,
 	}
 	s.lock.Lock()
 	s.peers[from] = p
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"kingcupvalve.example/kingcupvalve/internal/assessor"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 )
 
@@ -34,9 +35,14 @@
 // Options configures a Tracker. Zero fields take the defaults.
 type Options struct {
 	MaxFlows int
+	// Slots returns the slots of the target, 0 while they are not known.
+	Slots func() int
 }
 
 type flow struct {
+	published netip.AddrPort
+	// isQueued is set when the request had to wait for a slot.
+	isQueued bool
 	opened   time.Time
 	lastSeen time.Time
 	// waitingSince is the time of the caller's first unanswered data.
@@ -52,11 +58,12 @@
 
 // Tracker holds the flows of one target. It is safe for concurrent use.
 type Tracker struct {
-	options Options
-	lock    sync.Mutex
-	flows   map[uint64]*flow
-	running int
-	opening int
+	options  Options
+	lock     sync.Mutex
+	flows    map[uint64]*flow
+	assessor *assessor.Assessor
+	running  int
+	opening  int
 	// unansweredSince is the time of the first opening packet after the last
 	// packet from the target.
 	unansweredSince time.Time
@@ -68,7 +75,10 @@
 	if options.MaxFlows == 0 {
 		options.MaxFlows = DefaultMaxFlows
 	}
-	return &Tracker{options: options, flows: make(map[uint64]*flow)}
+	if options.Slots == nil {
+		options.Slots = func() int { return 0 }
+	}
+	return &Tracker{options: options, flows: make(map[uint64]*flow), assessor: assessor.NewAssessor()}
 }
 
 // Delivered records a caller's packet that goes to the target.
@@ -83,7 +93,7 @@
 		if len(t.flows) >= t.options.MaxFlows {
 			return
 		}
-		f = &flow{opened: now, hasSent: !p.Opens, sentUpTo: p.Sequence}
+		f = &flow{published: p.Destination, opened: now, hasSent: !p.Opens, sentUpTo: p.Sequence}
 		t.flows[key] = f
 		if p.Opens {
 			t.opening++
@@ -97,6 +107,8 @@
 		if !f.waiting {
 			t.setWaiting(f, true)
 			f.waitingSince = now
+			slots := t.options.Slots()
+			f.isQueued = slots > 0 && t.running > slots
 		}
 	}
 	if p.Ends {
@@ -140,7 +152,9 @@
 	}
 	if p.Length > 0 {
 		if f.waiting {
-			answerTime.Update(now.Sub(f.waitingSince).Seconds())
+			took := now.Sub(f.waitingSince)
+			answerTime.Update(took.Seconds())
+			t.assessor.Observe(f.published, took, f.isQueued, now)
 		}
 		t.setWaiting(f, false)
 	}
@@ -206,6 +220,8 @@
 	Running  int // requests and opening flows
 	Flows    int
 	IsSilent bool // the target leaves opening packets without an answer
+	// IsSuspect is set when the target answers much sooner or later than usual.
+	IsSuspect bool
 }
 
 // Load returns the load at a time.
@@ -214,7 +230,8 @@
 	defer t.lock.Unlock()
 	return Load{
 		Running: t.running + t.opening, Flows: len(t.flows),
-		IsSilent: !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) > silenceLimit,
+		IsSuspect: t.assessor.IsSuspect(now),
+		IsSilent:  !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) > silenceLimit,
 	}
 }
 
--- a/standin/launcher/process.go
+++ b/standin/launcher/process.go
@@ -71,6 +71,12 @@
 	<-p.exited
 }
 
+// HasWritten reports whether the program has written anything to its log.
+func (p *Process) HasWritten() bool {
+	info, err := os.Stat(p.logFile.Name())
+	return err == nil && info.Size() > 0
+}
+
 // HasExited reports whether the process has ended.
 func (p *Process) HasExited() bool {
 	select {
