Suspect a target that lost its flows

Cause: a flapping target was free and so chosen whenever it was up. Returned packets of flows that it had answered show a restart.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// ObserveLoss records that the target returned a packet of a flow that it held:
+// it has crashed and started again, and may do so soon.
+func (a *Assessor) ObserveLoss(now time.Time) {
+	if !a.IsSuspect(now) {
+		a.suspect(now)
+	}
+}
+
 func (u *usual) judge(logarithm float64, isQueued bool) verdict {
 	switch difference := logarithm - u.logarithm; {
 	case u.answers < learnFirst:
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -230,7 +230,7 @@
 // returnPacket continues the search for a packet that the target returned.
 func (d *Deliverer) returnPacket(datagram []byte, p framer.Packet, writer *batcher.Writer, now time.Time) {
 	returned.Inc()
-	before := d.options.Tracker.Returned(p.Key())
+	before := d.options.Tracker.Returned(p.Key(), now)
 	p.Mark.Via, p.Mark.Hops = before.Via, before.Hops
 	table := d.options.Table()
 	route, ok := table.Route(p.Destination)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -51,6 +51,7 @@
 	hasSent      bool
 	waiting      bool // the caller's data is unanswered
 	established  bool // the target has sent a packet of the flow
+	hasEnded     bool // either end has closed the flow
 	via          netip.Addr
 	hops         uint8
 	hinted       netip.Addr // balancer that has the hint
@@ -112,6 +113,7 @@
 		}
 	}
 	if p.Ends {
+		f.hasEnded = true
 		t.setWaiting(f, false)
 	}
 	if p.Resets {
@@ -144,6 +146,7 @@
 		return netip.Addr{}, false
 	}
 	f.lastSeen = now
+	f.hasEnded = f.hasEnded || p.Ends
 	if !f.established {
 		f.established = true
 		if f.waiting {
@@ -171,7 +174,7 @@
 
 // Returned records that the target did not accept a packet, and returns the
 // mark that the packet had before.
-func (t *Tracker) Returned(key uint64) framer.Mark {
+func (t *Tracker) Returned(key uint64, now time.Time) framer.Mark {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.unansweredSince = time.Time{}
@@ -179,6 +182,9 @@
 	if f == nil {
 		return framer.Mark{}
 	}
+	if f.established && !f.hasEnded {
+		t.assessor.ObserveLoss(now)
+	}
 	t.remove(key, f)
 	return framer.Mark{Via: f.via, Hops: f.hops}
 }
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -86,7 +86,7 @@
 		tr.Delivered(key, framer.Packet{Resets: true}, start)
 		is.Equal(tr.Load(start), Load{})
 		tr.Delivered(key, open(3), start)
-		is.Equal(tr.Returned(key), framer.Mark{Via: balancer, Hops: 3})
+		is.Equal(tr.Returned(key, start), framer.Mark{Via: balancer, Hops: 3})
 		is.Equal(tr.Load(start), Load{})
 	})
 	t.Run("a target that leaves an opening packet unanswered is silent", func(t *testing.T) {
@@ -101,6 +101,18 @@
 		tr.Answered(key, framer.Packet{}, later)
 		is.True(!tr.Load(later).IsSilent)
 	})
+	// Guards against a flapping target that gets every flow while it is up.
+	t.Run("a target that lost an open flow is suspect, after the end of a flow it is not", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		tr.Delivered(key, framer.Packet{Ends: true}, start)
+		tr.Returned(key, start)
+		is.True(!tr.Load(start).IsSuspect)
+		openFlow(tr, start)
+		tr.Returned(key, start)
+		is.True(tr.Load(start).IsSuspect)
+	})
 	t.Run("the number of flows is bounded", func(t *testing.T) {
 		is := is.New(t)
 		tr := NewTracker(Options{MaxFlows: 10})
