--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,7 @@
 	./bin/soak -seed $(SEED) -seeds $(SEEDS) -length $(LENGTH)
 
 # The run of CI, and each seed that ever failed (see docs/soak.md).
-SOAK_REGRESSIONS = 1
+SOAK_REGRESSIONS = 1 109 149
 soak-short: build
 	@for seed in $(SOAK_REGRESSIONS); do ./bin/soak -seed $$seed -length 8s || exit 1; done
 
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -10,7 +10,6 @@
 )
 
 const (
-	killSignal = syscall.SIGKILL
 	// stopLimit is the grace that the platform gives a planned stop.
 	stopLimit = 6 * time.Second
 	// restartPause is the time until the platform starts a process again.
@@ -25,8 +24,8 @@
 }
 
 var faults = []fault{
-	{"kill a balancer", false, func(s *Soak, pick int, _ time.Duration) { s.restart(s.balancer(pick), killSignal) }},
-	{"kill an agent", false, func(s *Soak, pick int, _ time.Duration) { s.restart(s.agent(pick), killSignal) }},
+	{"kill a balancer", false, func(s *Soak, pick int, _ time.Duration) { s.restart(s.balancer(pick), false) }},
+	{"kill an agent", false, func(s *Soak, pick int, _ time.Duration) { s.restart(s.agent(pick), false) }},
 	{"pause a balancer", false, func(s *Soak, pick int, d time.Duration) { s.pause(s.balancer(pick), d) }},
 	{"pause an agent", false, func(s *Soak, pick int, d time.Duration) { s.pause(s.agent(pick), d) }},
 	{"store busy", false, func(s *Soak, _ int, d time.Duration) { s.hinderStore(standin.FaultBusy, d) }},
@@ -41,7 +40,7 @@
 	{"store forgets its history", true, func(s *Soak, _ int, _ time.Duration) { s.world.store.Compact() }},
 	{"crash a target", false, func(s *Soak, pick int, d time.Duration) { s.crashTarget(s.agent(pick), d) }},
 	{"kill everything", false, func(s *Soak, _ int, _ time.Duration) { s.killAll() }},
-	{"stop a balancer", true, func(s *Soak, pick int, _ time.Duration) { s.restart(s.balancer(pick), syscall.SIGTERM) }},
+	{"stop a balancer", true, func(s *Soak, pick int, _ time.Duration) { s.restart(s.balancer(pick), true) }},
 	{"reload a process", true, func(s *Soak, pick int, _ time.Duration) { s.any(pick).signal(syscall.SIGHUP) }},
 	{"replace a target", true, func(s *Soak, pick int, _ time.Duration) { s.replaceTarget(s.agent(pick)) }},
 	{"change the configuration", true, func(s *Soak, pick int, _ time.Duration) { s.world.configure(pick%2 == 0) }},
@@ -79,8 +78,10 @@
 	return all[pick%len(all)]
 }
 
-func (s *Soak) restart(p *process, signal syscall.Signal) {
-	if err := p.stop(signal, stopLimit); err != nil {
+func (s *Soak) restart(p *process, isPlanned bool) {
+	if !isPlanned {
+		p.kill()
+	} else if err := p.terminate(); err != nil {
 		s.world.report.violate("%s did not stop: %v", p.name, err)
 	}
 	time.Sleep(restartPause)
@@ -113,7 +114,7 @@
 func (s *Soak) killAll() {
 	all := append(s.world.balancers[:len(s.world.balancers):len(s.world.balancers)], s.world.agents...)
 	for _, p := range all {
-		_ = p.stop(killSignal, 0)
+		p.kill()
 	}
 	time.Sleep(restartPause)
 	for _, p := range all {
--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -134,7 +134,7 @@
 // end ends the processes of this soak and no others.
 func (s *Soak) end() {
 	for _, p := range append(s.world.balancers, s.world.agents...) {
-		_ = p.stop(killSignal, 0)
+		p.kill()
 		if p.target != nil {
 			p.target.close()
 		}
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -42,6 +42,8 @@
 	file    string
 	lock    sync.Mutex
 	running *launcher.Process
+	// killed is the program that was killed last.
+	killed atomic.Pointer[launcher.Process]
 	// isReady and misses belong to the router.
 	isReady atomic.Bool
 	misses  int
@@ -217,28 +219,36 @@
 	return err
 }
 
-func (p *process) signal(s syscall.Signal) {
+func (p *process) signal(s syscall.Signal) { p.current().Signal(s) }
+
+// current returns the program that was started last.
+func (p *process) current() *launcher.Process {
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	p.running.Signal(s)
+	return p.running
 }
 
-// stop ends a process with a signal and waits for its exit. SIGTERM has to end
-// it with status 0, unless it came before the program had control: the first
-// thing that it does after it listens to signals is to write a log line.
-func (p *process) stop(s syscall.Signal, limit time.Duration) error {
-	p.lock.Lock()
-	defer p.lock.Unlock()
-	if s == syscall.SIGTERM {
-		if err := p.running.Terminate(limit); p.running.HasWritten() {
-			return err
-		}
+// terminate sends SIGTERM and waits for the exit. It has to end the program
+// with status 0, unless another fault ended it, or the signal came before
+// the program had control: the first thing that it does after it listens to
+// signals is to write a log line.
+func (p *process) terminate() error {
+	running := p.current()
+	if running.HasExited() {
 		return nil
 	}
-	p.running.Kill()
+	if err := running.Terminate(stopLimit); running.HasWritten() && p.killed.Load() != running {
+		return err
+	}
 	return nil
 }
 
+func (p *process) kill() {
+	running := p.current()
+	p.killed.Store(running)
+	running.Kill()
+}
+
 func (w *world) startTarget(p *process) error {
 	t, err := w.newTarget(p.service, netip.AddrPortFrom(p.address, w.app), netip.AddrPortFrom(p.address, w.outbound))
 	if err == nil {
