Bound the beacons of a process by its control budget

Cause: every process sent every agent four beacons a second, which grows with the fleet (5,200 KB/s at 11,000 targets). Now agents take turns at 140 a second at most, which is 23 KB/s with the answers; up to 35 agents nothing changes. The table finds the target of an address by a map, no longer by a scan for each packet.

--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -2,7 +2,7 @@
 // rate of log lines about faults that repeat.
 //
 // A log line has a constant message and typed snake-case fields; the shared
-// field names are listed in docs/operations.md. Every line carries the fields
+// field names are listed in docs/OPERATIONS.md. Every line carries the fields
 // process, role and availability_zone.
 //
 // # Usage
--- a/internal/meter/documented_test.go
+++ b/internal/meter/documented_test.go
@@ -16,11 +16,11 @@
 // Guards against a metric that moves at night and that nobody can look up.
 func TestMetricsAreDocumented(t *testing.T) {
 	root := filepath.Join("..", "..")
-	page, err := os.ReadFile(filepath.Join(root, "docs", "operations.md"))
+	page, err := os.ReadFile(filepath.Join(root, "docs", "OPERATIONS.md"))
 	is.New(t).NoErr(err)
 	for name, file := range metricNames(t, root) {
 		if !strings.Contains(string(page), "`"+name+"`") {
-			t.Errorf("metric %s of %s is missing in docs/operations.md", name, file)
+			t.Errorf("metric %s of %s is missing in docs/OPERATIONS.md", name, file)
 		}
 	}
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -3,7 +3,7 @@
 //
 // Packages register their own counters with metrics.GetOrCreateCounter. The
 // names begin with kingcupvalve_, end with the unit (_total, _seconds, _bytes)
-// and are listed in docs/operations.md; a test of this package compares the
+// and are listed in docs/OPERATIONS.md; a test of this package compares the
 // list with the source.
 //
 // # Usage
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -20,6 +20,7 @@
 	routes   map[netip.AddrPort]*Route
 	targets  map[uint32]*Target
 	orders   map[string]*selector.Table
+	byPlace  map[netip.AddrPort]uint32
 }
 
 // NewTable returns a table of a configuration and targets.
@@ -27,6 +28,7 @@
 	t := &Table{
 		version: config.Version, revision: revision, routes: make(map[netip.AddrPort]*Route, len(config.Routes)),
 		targets: make(map[uint32]*Target, len(targets)), orders: make(map[string]*selector.Table),
+		byPlace: make(map[netip.AddrPort]uint32, len(targets)),
 	}
 	for i := range config.Routes {
 		t.routes[config.Routes[i].Address] = &config.Routes[i]
@@ -35,6 +37,9 @@
 	for i := range targets {
 		n := targets[i].Number()
 		t.targets[n] = &targets[i]
+		if other, ok := t.byPlace[targets[i].Address]; !ok || t.targets[other].Revision < targets[i].Revision {
+			t.byPlace[targets[i].Address] = n
+		}
 		entries[targets[i].Service] = append(entries[targets[i].Service], selector.NewEntry(n, targetWeight))
 	}
 	for service, e := range entries {
@@ -71,17 +76,11 @@
 	}
 }
 
-// TargetAt returns the target of a service at an address. Of several, the one
-// that the platform wrote last counts.
+// TargetAt returns the target at an address. Of several, the one that the
+// platform wrote last counts.
 func (t *Table) TargetAt(address netip.AddrPort) (uint32, *Target, bool) {
-	var number uint32
-	var latest *Target
-	for n, target := range t.targets {
-		if target.Address == address && (latest == nil || target.Revision > latest.Revision) {
-			number, latest = n, target
-		}
-	}
-	return number, latest, latest != nil
+	n, ok := t.byPlace[address]
+	return n, t.targets[n], ok
 }
 
 // Hop is a step of a search.
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -2,8 +2,8 @@
 // datagram each, and keeps what the beacons say: which agents live, how loaded
 // their targets are and how new the tables of other processes are.
 //
-// Every process asks every agent of its table for a beacon at a fixed interval,
-// so that agents learn of balancers and of each other. Lost datagrams and lost
+// Every process asks one agent of its table after the other for a beacon, so
+// that agents learn of balancers and of each other. Lost datagrams and lost
 // state cost an interval.
 //
 // # Usage
@@ -19,6 +19,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,12 @@
 )
 
 const (
-	// beaconInterval is the time between two beacons to one agent.
+	// beaconInterval is the time between two beacons to one agent while there are
+	// no more agents than maxBeacons allows.
 	beaconInterval = 250 * time.Millisecond
+	// maxBeacons bounds the beacons a second. With its answer, one takes about
+	// 160 bytes, so the bound is the control budget of 23 KB/s of a process.
+	maxBeacons = 140
 	// unansweredAfter, probeInterval and probeLimit take an agent down 550 ms
 	// after the first beacon that it leaves unanswered.
 	unansweredAfter = 250 * time.Millisecond
@@ -83,6 +88,9 @@
 	conn     *net.UDPConn
 	detector *detector.Detector
 	agents   map[uint32]netip.Addr
+	// order has the agents in the order of beacons; the next one is at cursor.
+	order  []uint32
+	cursor int
 	// downSince has the agents that did not answer at the last tick.
 	downSince map[uint32]time.Time
 	lastSent  time.Time
@@ -117,7 +125,8 @@
 	for n := range agents {
 		numbers = append(numbers, n)
 	}
-	s.agents = agents
+	slices.Sort(numbers)
+	s.agents, s.order = agents, numbers
 	s.detector.SetTargets(numbers)
 }
 
@@ -145,17 +154,7 @@
 
 // Tick sends the beacons and probes that are due and forgets silent processes.
 func (s *Signaller) Tick(now time.Time) {
-	if now.Sub(s.lastSent) >= beaconInterval {
-		s.lastSent = now
-		beacon := s.encodeBeacon(now, true)
-		for n, address := range s.agents {
-			if !s.detector.IsDown(n) {
-				s.detector.Forwarded(n, now)
-				s.send(beacon, address)
-			}
-		}
-		s.forgetSilent(now)
-	}
+	s.sendBeacons(now)
 	probes := s.detector.Tick(now)
 	s.noteLiveness(now)
 	if len(probes) == 0 {
@@ -167,6 +166,29 @@
 	}
 }
 
+// sendBeacons sends the beacons that are due since the last tick, to one agent
+// after the other.
+func (s *Signaller) sendBeacons(now time.Time) {
+	if len(s.order) == 0 {
+		return
+	}
+	interval := max(beaconInterval, time.Duration(len(s.order))*time.Second/maxBeacons)
+	due := int(min(now.Sub(s.lastSent), interval) * time.Duration(len(s.order)) / interval)
+	if due == 0 {
+		return
+	}
+	s.lastSent = now
+	beacon := s.encodeBeacon(now, true)
+	for range due {
+		s.cursor = (s.cursor + 1) % len(s.order)
+		if n := s.order[s.cursor]; !s.detector.IsDown(n) {
+			s.detector.Forwarded(n, now)
+			s.send(beacon, s.agents[n])
+		}
+	}
+	s.forgetSilent(now)
+}
+
 // noteLiveness writes a line for each agent that stopped or began to answer.
 func (s *Signaller) noteLiveness(now time.Time) {
 	for n, address := range s.agents {
--- /dev/null
+++ b/internal/signaller/signaller_test.go
@@ -0,0 +1,96 @@
+package signaller
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"kingcupvalve.example/kingcupvalve/internal/wirepb"
+)
+
+// nobody is an address that no process of the tests listens on.
+var nobody = netip.MustParseAddr("127.0.31.9")
+
+func newSignaller(t *testing.T, hint func(flow uint64, target uint32)) *Signaller {
+	t.Helper()
+	s, err := NewSignaller(t.Context(), Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Logger: zerolog.Nop(), Hint: hint,
+		Describe: func(time.Time) *wirepb.Beacon { return &wirepb.Beacon{Process: "here"} },
+	})
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func beacon(b *wirepb.Beacon) *wirepb.Signal {
+	return &wirepb.Signal{Body: &wirepb.Signal_Beacon{Beacon: b}}
+}
+
+// advance calls Tick every 50 ms.
+func advance(s *Signaller, from time.Time, by time.Duration) time.Time {
+	end := from.Add(by)
+	for now := from; now.Before(end); now = now.Add(50 * time.Millisecond) {
+		s.Tick(now)
+	}
+	return end
+}
+
+func TestSignaller(t *testing.T) {
+	// Guards against new flows that go to dark agents for seconds.
+	t.Run("an agent that answers no beacon is down within a second, and up with its next one", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		s.SetAgents(map[uint32]netip.Addr{1: nobody})
+		now := advance(s, time.Now(), time.Second)
+		is.True(s.IsDown(1))
+		s.handle(beacon(&wirepb.Beacon{Target: 1}), nobody, now)
+		is.True(!s.IsDown(1))
+	})
+	t.Run("a beacon shows load and the age of the table", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		now := time.Now()
+		s.handle(beacon(&wirepb.Beacon{Target: 1, Running: 3, Slots: 4, Revision: 9, ConfirmedAgeMs: 200, Suspect: true}), nobody, now)
+		p, ok := s.Target(1)
+		is.True(ok)
+		is.Equal([]int{p.Running, p.Slots}, []int{3, 4})
+		is.True(p.IsSuspect)
+		is.Equal(p.ConfirmedAt, now.Add(-200*time.Millisecond))
+		is.Equal(len(s.Peers()), 1)
+	})
+	t.Run("silent processes are forgotten", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		now := time.Now()
+		s.handle(beacon(&wirepb.Beacon{Target: 1}), nobody, now)
+		s.SetAgents(map[uint32]netip.Addr{2: nobody})
+		advance(s, now.Add(peerTimeout+time.Second), time.Second)
+		is.Equal(len(s.Peers()), 0)
+	})
+	// Guards against control traffic that grows with the fleet.
+	t.Run("the beacons of a second are bounded and reach every agent in turn", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		agents := map[uint32]netip.Addr{}
+		for n := range uint32(1000) {
+			agents[n+1] = nobody
+		}
+		s.SetAgents(agents)
+		now := time.Now()
+		s.Tick(now) // the first one reaches all
+		start := s.cursor
+		advance(s, now.Add(time.Millisecond), 5*time.Second)
+		sent := (s.cursor - start + len(agents)) % len(agents)
+		is.True(sent > 0 && sent <= 5*maxBeacons)
+	})
+	t.Run("hints are handed over", func(t *testing.T) {
+		is := is.New(t)
+		var got []uint64
+		s := newSignaller(t, func(flow uint64, target uint32) { got = append(got, flow, uint64(target)) })
+		s.handle(&wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: 5, Target: 6}}}, nobody, time.Now())
+		is.Equal(got, []uint64{5, 6})
+	})
+}
