--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -40,12 +40,14 @@
 	messageReset     = "flow reset"
 	messageNoTarget  = "no target for packet"
 	messageNoneLeft  = "no target left for packet"
+	messageTarget    = "target changed"
+	messageStarts    = "process starts"
 )
 
 // backgroundMessages change what a process believes or whether it serves.
 var backgroundMessages = []string{
-	"process starts", "process leaves", "process stops", "platform lost", "platform regained", "agent does not answer",
-	"agent answers again", "own target does not answer", "own target answers again", "target changed",
+	messageStarts, "process leaves", "process stops", "platform lost", "platform regained", "agent does not answer",
+	"agent answers again", "own target does not answer", "own target answers again", messageTarget,
 	"suspicion of own target changed", "settings reloaded",
 }
 
@@ -128,36 +130,27 @@
 	return line, true
 }
 
-// addBackground adds the lines of the flow's processes near the flow's own.
+// addBackground adds the lines of the flow's processes near the flow's own
+// ones. Of changed targets, only those that the flow met are of interest.
 func (s *Story) addBackground(background []Line) {
-	if len(s.lines) == 0 {
-		return
-	}
-	processes := map[string]bool{}
-	first, last := s.lines[0].Time, s.lines[0].Time
-	for _, l := range s.lines {
-		processes[l.Process] = true
-		first, last = minTime(first, l.Time), maxTime(last, l.Time)
-	}
+	own := s.lines
 	for _, l := range background {
-		if processes[l.Process] && !l.Time.Before(first.Add(-context)) && !l.Time.After(last.Add(context)) {
+		if slices.ContainsFunc(own, func(o Line) bool { return explains(l, o) }) {
 			s.lines = append(s.lines, l)
 		}
 	}
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// explains reports whether a background line may explain a line of the flow.
+func explains(background, own Line) bool {
+	if background.Process != own.Process || background.Time.Sub(own.Time).Abs() > context {
+		return false
 	}
-	return b
-}
-
-func maxTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+	if background.Message != messageTarget {
+		return true
 	}
-	return b
+	name := text(own, "target")
+	return name != "" && strings.HasSuffix(text(background, "key"), name)
 }
 
 // Conclusion says in one sentence how far the flow came.
@@ -180,6 +173,8 @@
 		return "the flow was reset by " + reset.Process + ": " + cmp.Or(text(reset, "reason"), "no target held it any more")
 	case counts[messagePlaced] > 0 && s.lostAfter(placed):
 		return "the flow was placed by " + placed.Process + ", which was lost or left afterwards"
+	case counts[messagePlaced] > 0 && s.restartedAfter(placed) != "":
+		return "the flow was placed by " + placed.Process + "; " + s.restartedAfter(placed) + " started again afterwards, so packets were lost there"
 	case counts[messagePlaced] > 1:
 		return "the flow was placed more than once, last by " + placed.Process + ": earlier targets did not answer its opening packets"
 	case counts[messagePlaced] == 1:
@@ -201,13 +196,23 @@
 func (s *Story) lostAfter(l Line) bool {
 	for _, other := range s.lines {
 		if other.Process == l.Process && !other.Time.Before(l.Time) &&
-			slices.Contains([]string{"process starts", "process leaves", "own target does not answer"}, other.Message) {
+			slices.Contains([]string{messageStarts, "process leaves", "own target does not answer"}, other.Message) {
 			return true
 		}
 	}
 	return false
 }
 
+// restartedAfter returns the process that started after a line, if one did.
+func (s *Story) restartedAfter(l Line) string {
+	for _, other := range s.lines {
+		if other.Message == messageStarts && other.Time.After(l.Time) {
+			return other.Process
+		}
+	}
+	return ""
+}
+
 // Detail returns the fields of a line as text, in order of names.
 func (l Line) Detail() string {
 	var parts []string
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -38,6 +38,8 @@
 		{"a placed flow", own(1, "a", "flow placed", ""), "caller, the target or the network"},
 		{"a flow whose agent stopped", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "process leaves", ""), "lost or left afterwards"},
 		{"a flow whose target fell silent", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "own target does not answer", ""), "lost or left afterwards"},
+		{"a flow whose balancer was killed", own(1, "b", "flow forwarded", "") + "\n" + own(1, "a", "flow placed", "") + "\n" +
+			line(900, "b", "process starts", ""), "b started again afterwards"},
 		{"a flow placed twice", own(1, "a", "flow placed", "") + "\n" + own(200, "c", "flow placed", ""), "did not answer its opening packets"},
 		{"a flow without a route", own(1, "b", "flow reset", `,"reason":"no route"`), "reset by b: no route"},
 		{"a flow that no target held", own(1, "a", "no target left for packet", `,"reset":true`), "no target held it"},
@@ -61,7 +63,8 @@
 	})
 	t.Run("only the flow's processes and time give background", func(t *testing.T) {
 		is := is.New(t)
-		s := explain(t, own(1, "a", "flow placed", "")+"\n"+line(5, "z", "process leaves", "")+"\n"+line(6, "a", "platform lost", ""))
+		s := explain(t, own(1, "a", "flow placed", "")+"\n"+line(5, "z", "process leaves", "")+"\n"+line(6, "a", "platform lost", "")+
+			"\n"+line(7, "a", "target changed", `,"key":"t/other"`))
 		is.Equal(len(s.Lines()), 2)
 		is.True(s.Lines()[1].IsBackground)
 	})
