Share the loop over datagrams and drop fields without a reader

Steerer and deliverer had the same read loop; batcher.Serve has it once. Kind, zone, warm-up time and start of a target had no reader in the product; entries are still checked for them. Flows are forgotten after the configured idle time instead of the default. A test holds the platform's names in platform/.

--- a/imports_test.go
+++ b/imports_test.go
@@ -96,6 +96,24 @@
 	})
 }
 
+// pureInternal are decision packages of packet flows without sockets; time is a
+// parameter of theirs.
+var pureInternal = []string{"framer", "router", "registrar", "chooser", "assessor", "tracker"}
+
+func TestInternalDecisionsUseNoSockets(t *testing.T) {
+	is := is.New(t)
+	for _, p := range listPackages(is, "./internal/...") {
+		if !slices.Contains(pureInternal, strings.TrimPrefix(p.ImportPath, module+"internal/")) {
+			continue
+		}
+		for _, path := range p.Imports {
+			if path == "net" || path == "os" || path == "syscall" || strings.HasPrefix(path, "net/http") {
+				t.Errorf("%s imports %s", p.ImportPath, path)
+			}
+		}
+	}
+}
+
 var (
 	clockFunctions  = []string{"Now", "Since", "Until", "After", "AfterFunc", "Sleep", "Tick", "NewTimer", "NewTicker"}
 	seededFunctions = []string{"New", "NewPCG", "NewChaCha8", "NewZipf", "Rand", "Source"}
@@ -152,3 +170,35 @@
 		}
 	}
 }
+
+// platformNames are names of the platform's protocols that only its adapter
+// and the adapter's stand-in may know.
+var platformNames = regexp.MustCompile(`kv-key|kv-range|kv-watch|op/config|datagramAddr|coldLeftMs|isStale|atRev|hasMore|BOUNCED|` +
+	`heartbeatMs|KINGCUPVALVE_NODE_FILE|servers/|/kingcupvalve/ready`)
+
+// Guards against decisions that depend on the platform's names or layout.
+func TestPlatformNames(t *testing.T) {
+	is := is.New(t)
+	out, err := exec.Command("git", "ls-files", "*.go").Output()
+	is.NoErr(err)
+	for _, path := range strings.Fields(string(out)) {
+		if strings.HasPrefix(path, "platform/") || path == "imports_test.go" {
+			continue
+		}
+		content, err := os.ReadFile(path)
+		is.NoErr(err)
+		if name := platformNames.Find(content); name != nil {
+			t.Errorf("%s names %q of the platform", path, name)
+		}
+	}
+	for _, p := range listPackages(is, "./...") {
+		for _, imported := range p.Imports {
+			isAdapter := strings.HasPrefix(imported, module+"platform")
+			mayImport := strings.HasPrefix(p.ImportPath, module+"platform") || strings.HasPrefix(p.ImportPath, module+"standin/") ||
+				p.ImportPath == module+"cmd/kingcupvalved"
+			if isAdapter && !mayImport {
+				t.Errorf("%s imports %s", p.ImportPath, imported)
+			}
+		}
+	}
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -243,7 +243,7 @@
 		case now := <-ticker.C:
 			c.signaller.Tick(now)
 			if c.deliverer != nil {
-				c.tracker.Tick(now, 0)
+				c.tracker.Tick(now, c.follower.Table().IdleTimeout())
 				c.noteTarget(now)
 			}
 		}
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -29,10 +28,6 @@
 )
 
 const (
-	// batchSize is the number of datagrams read at a time.
-	batchSize = 32
-	// datagramSize is above the largest packet in bytes.
-	datagramSize = 2048
 	// maxHops ends a packet that travels in a loop, which tables that change
 	// under way can cause.
 	maxHops = 250
@@ -105,34 +100,11 @@
 // Run handles packets of both directions until the sockets are closed.
 func (d *Deliverer) Run() error {
 	var group errgroup.Group
-	group.Go(func() error { return d.serve(d.conn, d.deliver) })
-	group.Go(func() error { return d.serve(d.outbound, d.answer) })
+	group.Go(func() error { return d.conn.Serve(d.conn, d.options.Logger, func() {}, d.deliver) })
+	group.Go(func() error { return d.outbound.Serve(d.conn, d.options.Logger, func() {}, d.answer) })
 	return group.Wait()
 }
 
-func (d *Deliverer) serve(conn *batcher.Conn, handle func(datagram []byte, writer *batcher.Writer, now time.Time)) error {
-	pool := batcher.NewPool(batchSize, datagramSize, 0)
-	reader := conn.NewReader(pool)
-	for {
-		batch, err := reader.Read()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return merry.Prepend(err, "read packets")
-		}
-		now := time.Now()
-		writer := batch.Writer()
-		for i := range batch.Len() {
-			handle(batch.Payload(i), writer, now)
-		}
-		if failed, excess := writer.Flush(d.conn); failed+excess > 0 {
-			d.options.Logger.Warn().Int("failed", failed).Int("excess", excess).Msg("packets not sent")
-		}
-		pool.Put(batch)
-	}
-}
-
 // self returns the own target in a table.
 func (d *Deliverer) self(table *router.Table) (uint32, *router.Target, bool) {
 	number, target, ok := table.TargetAt(d.options.Backend)
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -104,7 +104,7 @@
 			Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds()), Services: c.Config.Services,
 		}
 		for _, r := range c.Config.Routes {
-			entry := &wirepb.RouteEntry{Address: r.Address.String(), Name: r.Name, Kind: string(r.Kind)}
+			entry := &wirepb.RouteEntry{Address: r.Address.String(), Name: r.Name}
 			for _, s := range r.Shares {
 				entry.Shares = append(entry.Shares, &wirepb.RouteShare{Service: s.Service, Weight: s.Weight})
 			}
@@ -113,8 +113,8 @@
 	}
 	if t := c.Target; t != nil {
 		item.Target = &wirepb.TargetEntry{
-			Id: t.ID, Service: t.Service, Address: t.Address.String(), AvailabilityZone: t.Zone, Draining: t.State == router.Draining,
-			Slots: uint32(t.Slots), ColdLeftMs: uint32(t.ColdLeft.Milliseconds()), StartedMs: t.Started,
+			Id: t.ID, Service: t.Service, Address: t.Address.String(), Draining: t.State == router.Draining,
+			Slots: uint32(t.Slots),
 		}
 	}
 	return item
@@ -133,7 +133,7 @@
 			if err != nil {
 				continue
 			}
-			route := router.Route{Name: r.GetName(), Address: address, Kind: router.Kind(r.GetKind())}
+			route := router.Route{Name: r.GetName(), Address: address}
 			for _, s := range r.GetShares() {
 				route.Shares = append(route.Shares, router.Share{Service: s.GetService(), Weight: s.GetWeight()})
 			}
@@ -146,8 +146,8 @@
 			return change
 		}
 		change.Target = &router.Target{
-			ID: t.GetId(), Service: t.GetService(), Address: address, Zone: t.GetAvailabilityZone(), Slots: int(t.GetSlots()),
-			ColdLeft: time.Duration(t.GetColdLeftMs()) * time.Millisecond, Started: t.GetStartedMs(), Revision: item.GetRevision(),
+			ID: t.GetId(), Service: t.GetService(), Address: address, Slots: int(t.GetSlots()),
+			Revision: item.GetRevision(),
 		}
 		if t.GetDraining() {
 			change.Target.State = router.Draining
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -7,16 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Kind tells whether the requests of a route may be repeated.
-type Kind string
-
-// Kinds of routes.
-const (
-	KindSafe     Kind = "safe"
-	KindUnsafe   Kind = "unsafe"
-	KindDownload Kind = "download"
-)
-
 // Share is the part of a route's new flows that a service gets.
 type Share struct {
 	Service string
@@ -27,7 +17,6 @@
 type Route struct {
 	Name    string
 	Address netip.AddrPort
-	Kind    Kind
 	Shares  []Share
 }
 
@@ -73,11 +62,8 @@
 	ID       string
 	Service  string
 	Address  netip.AddrPort
-	Zone     string
 	State    State
 	Slots    int
-	ColdLeft time.Duration
-	Started  int64 // ms since the Unix epoch
 	Revision uint64
 	// IsFresh is set while other processes may not know the target yet.
 	IsFresh bool
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +17,7 @@
 // Table is an immutable routing table. It is safe for concurrent use.
 type Table struct {
 	version  uint64
+	idle     time.Duration
 	revision uint64
 	routes   map[netip.AddrPort]*Route
 	targets  map[uint32]*Target
@@ -26,7 +28,7 @@
 // NewTable returns a table of a configuration and targets.
 func NewTable(config Config, targets []Target, revision uint64) *Table {
 	t := &Table{
-		version: config.Version, revision: revision, routes: make(map[netip.AddrPort]*Route, len(config.Routes)),
+		version: config.Version, idle: config.IdleTimeout, revision: revision, routes: make(map[netip.AddrPort]*Route, len(config.Routes)),
 		targets: make(map[uint32]*Target, len(targets)), orders: make(map[string]*selector.Table),
 		byPlace: make(map[netip.AddrPort]uint32, len(targets)),
 	}
@@ -51,6 +53,9 @@
 // Version returns the version of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
+// IdleTimeout returns the time after which a silent flow may be forgotten.
+func (t *Table) IdleTimeout() time.Duration { return t.idle }
+
 // Revision returns the revision up to which the table is complete.
 func (t *Table) Revision() uint64 { return t.revision }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -13,10 +13,7 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,10 +28,6 @@
 )
 
 const (
-	// batchSize is the number of datagrams read at a time.
-	batchSize = 32
-	// datagramSize is above the largest packet in bytes.
-	datagramSize = 2048
 	// maxHints bounds the remembered flows; each takes about 100 bytes.
 	maxHints = 65_536
 	// currentFor is the age of a table up to which it is taken as proof that an
@@ -70,8 +63,8 @@
 	options Options
 	conn    *batcher.Conn
 	hints   *lru.Cache[uint64, uint32]
-	lastIn  atomic.Int64
-	resets  [][]byte
+	// resets keeps the resets of a batch until they are sent.
+	resets [][]byte
 }
 
 // NewSteerer binds the socket.
@@ -93,34 +86,9 @@
 // AddHint records which target holds a flow. It is safe for concurrent use.
 func (s *Steerer) AddHint(flow uint64, target uint32) { s.hints.Add(flow, target) }
 
-// LastPacket returns the time of the last packet of a caller. It is safe for
-// concurrent use.
-func (s *Steerer) LastPacket() time.Time { return time.Unix(0, s.lastIn.Load()) }
-
 // Run forwards packets until the socket is closed.
 func (s *Steerer) Run() error {
-	pool := batcher.NewPool(batchSize, datagramSize, 0)
-	reader := s.conn.NewReader(pool)
-	for {
-		batch, err := reader.Read()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return merry.Prepend(err, "read packets")
-		}
-		now := time.Now()
-		s.lastIn.Store(now.UnixNano())
-		s.resets = s.resets[:0]
-		writer := batch.Writer()
-		for i := range batch.Len() {
-			s.steer(batch.Payload(i), writer, now)
-		}
-		if failed, excess := writer.Flush(s.conn); failed+excess > 0 {
-			s.options.Logger.Warn().Int("failed", failed).Int("excess", excess).Msg("packets not sent")
-		}
-		pool.Put(batch)
-	}
+	return s.conn.Serve(s.conn, s.options.Logger, func() { s.resets = s.resets[:0] }, s.steer)
 }
 
 func (s *Steerer) steer(datagram []byte, writer *batcher.Writer, now time.Time) {
@@ -160,7 +128,7 @@
 			opened.Inc()
 			s.hints.Add(key, hop.Number)
 			s.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
-				Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.Acknowledged).
+				Str("route", route.Name).Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.Acknowledged).
 				Bool("second_pass", hop.Mark.IsSecondPass()).Uint64("version", table.Version()).
 				Dur("table_age_ms", s.options.TableAge(now)).Msg("flow forwarded")
 		}
@@ -195,7 +163,6 @@
 		return
 	}
 	b := s.options.Codec.EncodeReset(nil, p)
-	// The bytes stay referenced until the writer is flushed.
 	s.resets = append(s.resets, b)
 	to := batcher.NewAddress(netip.AddrPortFrom(p.Source.Addr(), s.options.Address.Port()))
 	writer.Add(b, &to)
