--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -63,6 +64,8 @@
 	options Options
 	conn    *batcher.Conn
 	hints   *lru.Cache[uint64, uint32]
+	// lastIn is the time of the last batch of packets, in ns since 1970.
+	lastIn atomic.Int64
 	// resets keeps the resets of a batch until they are sent.
 	resets [][]byte
 }
@@ -86,9 +89,18 @@
 // AddHint records which target holds a flow. It is safe for concurrent use.
 func (s *Steerer) AddHint(flow uint64, target uint32) { s.hints.Add(flow, target) }
 
+// QuietFor returns the time since the last packet of a caller. It is safe for
+// concurrent use.
+func (s *Steerer) QuietFor(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, s.lastIn.Load()))
+}
+
 // Run forwards packets until the socket is closed.
 func (s *Steerer) Run() error {
-	return s.conn.Serve(s.conn, s.options.Logger, func() { s.resets = s.resets[:0] }, s.steer)
+	return s.conn.Serve(s.conn, s.options.Logger, func() {
+		s.lastIn.Store(time.Now().UnixNano())
+		s.resets = s.resets[:0]
+	}, s.steer)
 }
 
 func (s *Steerer) steer(datagram []byte, writer *batcher.Writer, now time.Time) {
