--- /dev/null
+++ b/internal/router/bench_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+)
+
+// fleet returns a configuration with one route for each two targets and that
+// many targets, as at the target size.
+func fleet(targets int) (Config, []Target) {
+	config := Config{Version: 1}
+	var all []Target
+	for i := range targets {
+		service := fmt.Sprint("service-", i/2)
+		all = append(all, Target{
+			ID: fmt.Sprint("i-", i), Service: service,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80),
+		})
+		if i%2 == 0 {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
+			config.Routes = append(config.Routes, Route{Address: address, Shares: []Share{{Service: service, Weight: 1}}})
+		}
+	}
+	return config, all
+}
+
+// The slope of docs/CAPACITY.md for a table that is built anew.
+func BenchmarkNewTable(b *testing.B) {
+	for _, n := range []int{1000, 2000, 4000, 8000} {
+		config, targets := fleet(n)
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				NewTable(config, targets, 1)
+			}
+		})
+	}
+}
+
+// The slope of docs/CAPACITY.md for the placement of a packet.
+func BenchmarkSearch(b *testing.B) {
+	for _, n := range []int{8, 16, 32, 64} {
+		var targets []Target
+		for i := range n {
+			targets = append(targets, Target{ID: fmt.Sprint("i-", i), Service: "feeds"})
+		}
+		table, route := newTable([]Share{{Service: "feeds", Weight: 1}}, targets...)
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			b.ReportAllocs()
+			key := uint64(1)
+			for b.Loop() {
+				key += 0x9e3779b97f4a7c15
+				table.Search(route, key, framer.Mark{Progress: framer.StartProgress}, all)
+			}
+		})
+	}
+}
