--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -16,8 +16,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -35,7 +33,6 @@
 	"kingcupvalve.example/kingcupvalve/internal/follower"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/messenger"
-	"kingcupvalve.example/kingcupvalve/internal/meter"
 	"kingcupvalve.example/kingcupvalve/internal/parser"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/signaller"
@@ -44,21 +41,8 @@
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
-const (
-	// tickInterval is the resolution of beacons and of flow expiry.
-	tickInterval = 50 * time.Millisecond
-	// stopMargin is kept between the end of a planned stop and the deadline at
-	// which the process is killed.
-	stopMargin = time.Second
-	// rotationTime is above the time in which routers take a balancer that is
-	// not ready out of rotation: two checks, half a second apart.
-	rotationTime = 1200 * time.Millisecond
-	// quietTime without a packet shows that they did.
-	quietTime = 400 * time.Millisecond
-	// agentStop lets requests that run at a leaving agent finish. Its flows
-	// wait for the next process, so it is short.
-	agentStop = 300 * time.Millisecond
-)
+// tickInterval is the resolution of beacons, of flow expiry and of a stop.
+const tickInterval = 50 * time.Millisecond
 
 // Platform is what a process needs of the platform.
 type Platform struct {
@@ -201,53 +185,6 @@
 	return errors.Join(err, c.deliverer.Close())
 }
 
-// awaitStop returns after a planned stop or the end of the context.
-func (c *Conductor) awaitStop(ctx context.Context) {
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.reloader.check()
-		case s := <-c.signals:
-			if s == syscall.SIGHUP {
-				c.reloader.check()
-				continue
-			}
-			c.leave(ctx)
-			return
-		}
-	}
-}
-
-func (c *Conductor) leave(ctx context.Context) {
-	c.isLeaving.Store(true)
-	started := time.Now()
-	longest := c.reloader.settings().DrainDeadline() - stopMargin
-	if c.deliverer != nil {
-		c.deliverer.Leave()
-		longest = min(longest, agentStop)
-	}
-	c.logger.Info().Dur("deadline_ms", longest).Msg("process leaves")
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for now := started; now.Sub(started) < longest && !c.isUnused(now, started); {
-		select {
-		case <-ctx.Done():
-			return
-		case now = <-ticker.C:
-		}
-	}
-	c.logger.Info().Dur("duration_ms", time.Since(started)).Msg("process stops")
-}
-
-// isUnused reports whether routers no longer send to a leaving balancer.
-func (c *Conductor) isUnused(now, leaving time.Time) bool {
-	return c.steerer != nil && now.Sub(leaving) >= rotationTime && c.steerer.QuietFor(now) >= quietTime
-}
-
 // tick sends beacons and expires flows.
 func (c *Conductor) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -284,48 +221,6 @@
 	}
 }
 
-// serveHTTP answers readiness checks and serves metrics.
-func (c *Conductor) serveHTTP(ctx context.Context) error {
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+c.platform.ReadyPath, c.serveReady)
-	var group errgroup.Group
-	group.Go(func() error { return serve(ctx, c.settings.Packets().ReadyAddress(), ready) })
-	if address := c.settings.Packets().MetricsAddress(); address.IsValid() {
-		mux := http.NewServeMux()
-		mux.Handle("GET /metrics", meter.Handler())
-		group.Go(func() error { return serve(ctx, address, mux) })
-	}
-	return group.Wait()
-}
-
-func serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address.String())
-	if err != nil {
-		return merry.Prepend(err, "listen for http")
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return merry.Prepend(err, "serve http")
-	}
-	return nil
-}
-
-func (c *Conductor) serveReady(w http.ResponseWriter, _ *http.Request) {
-	isReady := !c.isLeaving.Load()
-	select {
-	case <-c.follower.Ready():
-	default:
-		isReady = false
-	}
-	if !isReady {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // takeTable follows the set of agents.
 func (c *Conductor) takeTable(t *router.Table) {
 	agents := make(map[uint32]netip.Addr)
--- /dev/null
+++ b/internal/conductor/http.go
@@ -0,0 +1,57 @@
+package conductor
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sync/errgroup"
+
+	"kingcupvalve.example/kingcupvalve/internal/meter"
+)
+
+// serveHTTP answers readiness checks and serves metrics.
+func (c *Conductor) serveHTTP(ctx context.Context) error {
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET "+c.platform.ReadyPath, c.serveReady)
+	var group errgroup.Group
+	group.Go(func() error { return serve(ctx, c.settings.Packets().ReadyAddress(), ready) })
+	if address := c.settings.Packets().MetricsAddress(); address.IsValid() {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", meter.Handler())
+		group.Go(func() error { return serve(ctx, address, mux) })
+	}
+	return group.Wait()
+}
+
+func serve(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return merry.Prepend(err, "listen for http")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return merry.Prepend(err, "serve http")
+	}
+	return nil
+}
+
+func (c *Conductor) serveReady(w http.ResponseWriter, _ *http.Request) {
+	isReady := !c.isLeaving.Load()
+	select {
+	case <-c.follower.Ready():
+	default:
+		isReady = false
+	}
+	if !isReady {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -23,9 +23,9 @@
 
 func newDeliverer(t *testing.T) *Deliverer {
 	t.Helper()
-	any := netip.MustParseAddrPort("127.0.0.1:0")
+	free := netip.MustParseAddrPort("127.0.0.1:0")
 	d, err := NewDeliverer(t.Context(), Options{
-		Address: any, Outbound: any, Backend: backend, Service: "feeds", Logger: zerolog.Nop(),
+		Address: free, Outbound: free, Backend: backend, Service: "feeds", Logger: zerolog.Nop(),
 		Chooser:  chooser.NewChooser(func(uint32) bool { return false }, func(uint32) (chooser.Report, bool) { return chooser.Report{}, true }),
 		Tracker:  tracker.NewTracker(tracker.Options{}),
 		TableAge: func(time.Time) time.Duration { return 0 },
--- /dev/null
+++ b/internal/follower/note.go
@@ -0,0 +1,41 @@
+package follower
+
+import (
+	"errors"
+	"time"
+
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+)
+
+// noteAnswer records whether the platform answers.
+func (f *Follower) noteAnswer(err error, now time.Time) {
+	switch {
+	case err != nil && !errors.Is(err, ErrCompacted):
+		readsFailed.Inc()
+		if f.lostAt.IsZero() {
+			f.lostAt = now
+			f.options.Logger.Warn().Err(err).Dur("table_age_ms", f.Age(now)).Msg("platform lost")
+		}
+	case !f.lostAt.IsZero():
+		f.options.Logger.Info().Dur("duration_ms", now.Sub(f.lostAt)).Msg("platform regained")
+		f.lostAt = time.Time{}
+	default:
+		readsDone.Inc()
+	}
+}
+
+// logTargets writes a line for each target that changed after a revision.
+func (f *Follower) logTargets(changes []registrar.Change, after uint64) {
+	for _, c := range changes {
+		if c.Revision <= after || c.Config != nil {
+			continue
+		}
+		event := f.options.Logger.Info().Str("key", c.Key).Uint64("revision", c.Revision)
+		if t := c.Target; t != nil {
+			event = event.Str("service", t.Service).Stringer("address", t.Address).Stringer("state", t.State)
+		} else {
+			event = event.Str("state", "unlisted")
+		}
+		event.Msg("target changed")
+	}
+}
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -106,13 +106,13 @@
 
 // exchange sends a packet, again and again until one arrives that accept
 // takes. It reports whether one did and whether the flow was reset.
-func (f *flow) exchange(limit time.Duration, send func(copy int), accept func(p framer.Packet) bool) (ok, isReset bool) {
+func (f *flow) exchange(limit time.Duration, send func(number int), accept func(p framer.Packet) bool) (ok, isReset bool) {
 	start := time.Now()
-	for copy := 0; ; copy++ {
-		send(copy)
+	for number := 0; ; number++ {
+		send(number)
 		end := limit
-		if copy < len(resendAfter) {
-			end = min(limit, resendAfter[copy])
+		if number < len(resendAfter) {
+			end = min(limit, resendAfter[number])
 		}
 		timer := time.NewTimer(time.Until(start.Add(end)))
 		for isWaiting := true; isWaiting; {
@@ -130,7 +130,7 @@
 				isWaiting = false
 			}
 		}
-		if time.Since(start) >= limit || copy >= len(resendAfter) && time.Since(start) >= limit {
+		if time.Since(start) >= limit {
 			return false, false
 		}
 	}
@@ -138,9 +138,9 @@
 
 // open opens the flow.
 func (f *flow) open() bool {
-	ok, _ := f.exchange(attemptTime, func(copy int) {
-		if copy < 3 {
-			f.send(framer.Packet{Opens: true, Acknowledged: uint32(copy)}, nil)
+	ok, _ := f.exchange(attemptTime, func(number int) {
+		if number < 3 {
+			f.send(framer.Packet{Opens: true, Acknowledged: uint32(number)}, nil)
 		}
 	}, func(p framer.Packet) bool {
 		f.expected = p.Sequence + 1
