--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -29,9 +29,9 @@
 // maxLine is the longest line that is read, in bytes.
 const maxLine = 1 << 20
 
-// context is the time before and after a flow's lines in which other lines of
+// nearby is the time before and after a flow's lines in which other lines of
 // the same processes may explain them. Clocks of hosts differ by less as a rule.
-const context = 2 * time.Second
+const nearby = 2 * time.Second
 
 // Messages that say how a search or a flow ended.
 const (
@@ -143,7 +143,7 @@
 
 // explains reports whether a background line may explain a line of the flow.
 func explains(background, own Line) bool {
-	if background.Process != own.Process || background.Time.Sub(own.Time).Abs() > context {
+	if background.Process != own.Process || background.Time.Sub(own.Time).Abs() > nearby {
 		return false
 	}
 	if background.Message != messageTarget {
