--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -61,10 +61,8 @@
 		return nil, fmt.Errorf("prepare soak: %w", err)
 	}
 	w := &world{options: options, store: standin.NewStore(), report: newReport(), changedAt: map[netip.AddrPort]time.Time{}}
-	for _, port := range []*uint16{&w.port, &w.control, &w.ready, &w.app, &w.outbound} {
-		if *port, err = freePort(w.host(0)); err != nil {
-			return nil, fmt.Errorf("prepare soak: %w", err)
-		}
+	if err := choosePorts(w.host(0), &w.port, &w.control, &w.ready, &w.app, &w.outbound); err != nil {
+		return nil, fmt.Errorf("prepare soak: %w", err)
 	}
 	return &Soak{world: w, random: rand.New(rand.NewPCG(options.Seed, 1))}, nil
 }
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -72,15 +72,19 @@
 
 func (w *world) nextID() int64 { return w.ids.Add(1) }
 
-// freePort returns a port that is free on the first loopback address of the
-// soak.
-func freePort(host netip.Addr) (uint16, error) {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
-	if err != nil {
-		return 0, err
+// choosePorts sets ports that are free on the first loopback address of the
+// soak. All listeners stay open until the last port is chosen, since the kernel
+// gives a closed port again.
+func choosePorts(host netip.Addr, ports ...*uint16) error {
+	for _, port := range ports {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		*port = l.Addr().(*net.TCPAddr).AddrPort().Port()
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort().Port(), nil
+	return nil
 }
 
 func published(i int) netip.AddrPort {
