Set the agents of the signaller from the goroutine that owns them

Cause: found while reading the change. The follower's goroutine replaced the signaller's and detector's agents while the control tick walked them, which is a data race and can end a process with several cores. The soak's list of processes stands once, and an accessor of the table without a reader is gone.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -70,6 +70,9 @@
 	isLeaving   atomic.Bool
 	self        atomic.Uint32
 	signals     chan os.Signal
+	// newAgents has the agents of a new table until tick, which owns the
+	// signaller's agents, takes them over.
+	newAgents atomic.Pointer[map[uint32]netip.Addr]
 	// silentSince and isSuspect belong to the goroutine of tick.
 	silentSince time.Time
 	isSuspect   bool
@@ -194,6 +197,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if agents := c.newAgents.Swap(nil); agents != nil {
+				c.signaller.SetAgents(*agents)
+			}
 			c.signaller.Tick(now)
 			if c.deliverer != nil {
 				c.tracker.Tick(now, c.follower.Table().IdleTimeout())
@@ -230,7 +236,7 @@
 			agents[n] = target.Address.Addr()
 		}
 	})
-	c.signaller.SetAgents(agents)
+	c.newAgents.Store(&agents)
 	if c.deliverer != nil {
 		n, _, _ := t.TargetAt(c.settings.Packets().BackendAddress())
 		c.self.Store(n)
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -65,9 +65,6 @@
 	return r, ok
 }
 
-// Routes returns the number of routes.
-func (t *Table) Routes() int { return len(t.routes) }
-
 // Target returns the target of a number.
 func (t *Table) Target(number uint32) (*Target, bool) {
 	target, ok := t.targets[number]
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -74,7 +74,7 @@
 func (s *Soak) agent(pick int) *process { return s.world.agents[pick%len(s.world.agents)] }
 
 func (s *Soak) any(pick int) *process {
-	all := append(s.world.balancers[:len(s.world.balancers):len(s.world.balancers)], s.world.agents...)
+	all := s.world.processes()
 	return all[pick%len(all)]
 }
 
@@ -101,7 +101,7 @@
 }
 
 func (s *Soak) hinderStore(f standin.Fault, d time.Duration) {
-	all := append(s.world.balancers[:len(s.world.balancers):len(s.world.balancers)], s.world.agents...)
+	all := s.world.processes()
 	for _, p := range all {
 		p.gate.SetFault(f)
 	}
@@ -112,7 +112,7 @@
 }
 
 func (s *Soak) killAll() {
-	all := append(s.world.balancers[:len(s.world.balancers):len(s.world.balancers)], s.world.agents...)
+	all := s.world.processes()
 	for _, p := range all {
 		p.kill()
 	}
--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -131,7 +131,7 @@
 
 // end ends the processes of this soak and no others.
 func (s *Soak) end() {
-	for _, p := range append(s.world.balancers, s.world.agents...) {
+	for _, p := range s.world.processes() {
 		p.kill()
 		if p.target != nil {
 			p.target.close()
--- a/standin/soaker/world.go
+++ b/standin/soaker/world.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -70,6 +71,9 @@
 	changedAt map[netip.AddrPort]time.Time
 }
 
+// processes returns the balancers and the agents.
+func (w *world) processes() []*process { return slices.Concat(w.balancers, w.agents) }
+
 func (w *world) nextID() int64 { return w.ids.Add(1) }
 
 // choosePorts sets ports that are free on the first loopback address of the
