Wait for the closed listener at the end of Messenger.Run

Cause: Accept fails before the close of its socket has finished, so Run could return while the address was still in use, and the next process at the address failed with 'address already in use'. Ruled out: an outgoing connection with the same port (its source is 127.0.0.1), connections in TIME_WAIT (the listener sets SO_REUSEADDR).

Change: Run waits for the goroutine that closes the listener.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -76,8 +76,11 @@
 func (m *Messenger) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { m.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	context.AfterFunc(ctx, func() {
+		defer close(closed)
+		m.Close()
+	})
 	m.wait.Go(func() { m.expireLinks(ctx) })
 	var failure error
 	for {
@@ -109,7 +112,9 @@
 		}()
 	}
 	cancel()
-	m.Close()
+	// Accept fails before the socket is closed, and the address is free only
+	// afterwards.
+	<-closed
 	m.wait.Wait()
 	return failure
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -166,3 +166,22 @@
 		is.True(errors.Is(err, ErrBackoff))
 	})
 }
+
+// TestRun guards against an address that is still in use after Run, which kept
+// a process from starting again at once.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	address := netip.MustParseAddrPort("127.0.0.1:0")
+	for range 200 {
+		m, err := NewMessenger(Options{
+			Address: address, IsPlain: true, Hello: func() *wirepb.Hello { return &wirepb.Hello{} }, Logger: zerolog.Nop(),
+		})
+		is.NoErr(err)
+		address = m.Address()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- m.Run(ctx) }()
+		cancel()
+		is.NoErr(<-done)
+	}
+}
