Serve the operator API for packet flows

Change: package presenter shows table, targets, flows and outcomes of a conductor through the existing operator API, which is served if the settings name operator_address and tls.operators. The events of the burn report move from supervisor to recorder, so that both ways of serving use the same code. The first read of the platform after a loss now counts as done.

Checks: settings with tls.callers or tls.peers beside packets are still refused, tls.operators only without operator_address.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -34,6 +34,8 @@
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/messenger"
 	"kingcupvalve.example/kingcupvalve/internal/parser"
+	"kingcupvalve.example/kingcupvalve/internal/presenter"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/signaller"
 	"kingcupvalve.example/kingcupvalve/internal/steerer"
@@ -70,6 +72,9 @@
 	isLeaving   atomic.Bool
 	self        atomic.Uint32
 	signals     chan os.Signal
+	drain       chan struct{}
+	presenter   *presenter.Presenter
+	operators   *operators
 	// newAgents has the agents of a new table until tick, which owns the
 	// signaller's agents, takes them over.
 	newAgents atomic.Pointer[map[uint32]netip.Addr]
@@ -84,7 +89,10 @@
 		settings: settings, platform: platform, logger: logger, incarnation: rand.Uint64(),
 		reloader: newReloader(settings, platform.SetURL, logger),
 	}
-	c.tracker = tracker.NewTracker(tracker.Options{Slots: c.slots})
+	c.tracker = tracker.NewTracker(tracker.Options{Slots: c.slots, Record: func(o recorder.Outcome, now time.Time) {
+		c.presenter.Record(settings.Packets().Service(), o, now)
+	}})
+	c.drain = make(chan struct{}, 1)
 	// A signal that comes before the process listens to it would end it.
 	c.signals = make(chan os.Signal, 4)
 	signal.Notify(c.signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
@@ -108,6 +116,10 @@
 	})
 	c.follower.Subscribe(c.takeTable)
 	c.messenger.Handle(messenger.LaneControl, c.follower.Serve)
+	c.buildPresenter()
+	if c.operators, err = c.newOperators(ctx); err != nil {
+		return nil, merry.Prepend(err, "start process")
+	}
 	if settings.Role() == cataloger.RoleBalancer {
 		err = c.buildSteerer(ctx)
 	} else {
@@ -119,7 +131,7 @@
 func (c *Conductor) buildSteerer(ctx context.Context) (err error) {
 	c.steerer, err = steerer.NewSteerer(ctx, steerer.Options{
 		Address: c.settings.Packets().Address(), Codec: c.platform.Codec, Table: c.follower.Table, TableAge: c.follower.Age,
-		Chooser: c.chooser, IsDown: c.signaller.IsDown, Logger: c.logger,
+		Chooser: c.chooser, IsDown: c.signaller.IsDown, Record: c.presenter.Record, Logger: c.logger,
 	})
 	return err
 }
@@ -129,7 +141,7 @@
 	c.deliverer, err = deliverer.NewDeliverer(ctx, deliverer.Options{
 		Address: p.Address(), Outbound: p.OutboundAddress(), Backend: p.BackendAddress(), Service: p.Service(),
 		Codec: c.platform.Codec, Table: c.follower.Table, Chooser: c.chooser, Tracker: c.tracker, Hint: c.signaller.SendHint,
-		TableAge: c.follower.Age, Logger: c.logger,
+		TableAge: c.follower.Age, Record: c.presenter.Record, Logger: c.logger,
 	})
 	return err
 }
@@ -160,6 +172,11 @@
 		return nil
 	})
 	group.Go(func() error { return c.serveHTTP(ctx) })
+	group.Go(func() error { return c.operators.serve(ctx) })
+	group.Go(func() error {
+		c.presenter.Run(ctx)
+		return nil
+	})
 	group.Go(func() error {
 		c.tick(ctx)
 		return nil
--- a/internal/conductor/fleet_test.go
+++ b/internal/conductor/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 	"net"
@@ -16,11 +17,13 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	api "kingcupvalve.example/kingcupvalve/internal/api/operator"
 	"kingcupvalve.example/kingcupvalve/internal/follower"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/parser"
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
 	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/standin/issuer"
 )
 
 // testTimeout bounds a wait; it decides nothing in a test that passes.
@@ -91,6 +94,9 @@
 	t       *testing.T
 	control uint16
 	packets uint16
+	// authority signs the certificates of the operator API; none is served
+	// without it.
+	authority *issuer.Authority
 
 	mutex    sync.Mutex
 	revision uint64
@@ -190,7 +196,12 @@
 		text += fmt.Sprintf("  outbound_address: %s\n  backend_address: %s\n  service: feeds\n",
 			netip.AddrPortFrom(host(n), f.packets+2), backendAddress(f, n))
 	}
-	path := filepath.Join(f.t.TempDir(), "settings.yaml")
+	directory := f.t.TempDir()
+	if f.authority != nil {
+		f.writeCertificates(directory)
+		text += fmt.Sprintf("operator_address: %s\ntls:\n  operators: {certificate: pair.pem, key: key.pem, ca: ca.pem}\n", f.operatorAddress(n))
+	}
+	path := filepath.Join(directory, "settings.yaml")
 	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
 	settings, err := parser.ParseSettings(path)
 	is.NoErr(err)
@@ -215,6 +226,34 @@
 	return p
 }
 
+func (f *fleet) operatorAddress(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(host(n), f.packets+3)
+}
+
+func (f *fleet) writeCertificates(directory string) {
+	f.t.Helper()
+	is := is.New(f.t)
+	pair, err := f.authority.Issue(parser.DefaultPeerName)
+	is.NoErr(err)
+	is.NoErr(issuer.WritePair(filepath.Join(directory, "pair.pem"), filepath.Join(directory, "key.pem"), pair))
+	is.NoErr(f.authority.WriteCA(filepath.Join(directory, "ca.pem")))
+}
+
+// operator returns a client of the operator API of a process.
+func (f *fleet) operator(n byte) *api.Client {
+	f.t.Helper()
+	is := is.New(f.t)
+	pair, err := f.authority.Issue()
+	is.NoErr(err)
+	transport := &http.Transport{TLSClientConfig: &tls.Config{
+		Certificates: []tls.Certificate{pair}, RootCAs: f.authority.Pool(), ServerName: parser.DefaultPeerName,
+	}}
+	f.t.Cleanup(transport.CloseIdleConnections)
+	client, err := api.NewClient("https://"+f.operatorAddress(n).String(), api.WithClient(&http.Client{Transport: transport, Timeout: testTimeout}))
+	is.NoErr(err)
+	return client
+}
+
 // awaitReady waits until a process is ready.
 func (f *fleet) awaitReady(n byte) {
 	f.t.Helper()
--- a/internal/conductor/http.go
+++ b/internal/conductor/http.go
@@ -43,13 +43,7 @@
 }
 
 func (c *Conductor) serveReady(w http.ResponseWriter, _ *http.Request) {
-	isReady := !c.isLeaving.Load()
-	select {
-	case <-c.follower.Ready():
-	default:
-		isReady = false
-	}
-	if !isReady {
+	if c.isLeaving.Load() || !c.follower.IsReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/conductor/stop.go
+++ b/internal/conductor/stop.go
@@ -30,6 +30,9 @@
 			return
 		case <-ticker.C:
 			c.reloader.check()
+		case <-c.drain:
+			c.leave(ctx)
+			return
 		case s := <-c.signals:
 			if s == syscall.SIGHUP {
 				c.reloader.check()
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -23,6 +23,7 @@
 	"kingcupvalve.example/kingcupvalve/internal/batcher"
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
@@ -48,6 +49,15 @@
 	exhausted  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
 )
 
+// Counters returns the packet counters of the process by name.
+func Counters() map[string]uint64 {
+	return map[string]uint64{
+		"packets_delivered": delivered.Get(), "packets_answered": answered.Get(), "packets_returned": returned.Get(),
+		"packets_passed_on": passedOn.Get(), "drop_malformed": malformed.Get(), "drop_unrouted": unrouted.Get(),
+		"drop_no_target_left": exhausted.Get(), "resets_sent": resetsSent.Get(),
+	}
+}
+
 // Options configures a Deliverer.
 type Options struct {
 	// Address is the UDP address that balancers and agents send to.
@@ -65,7 +75,9 @@
 	// TableAge returns the time since the table was last known to be current.
 	TableAge func(now time.Time) time.Duration
 	// Hint tells a balancer that the own target holds a flow.
-	Hint   func(balancer netip.Addr, flow uint64, target uint32)
+	Hint func(balancer netip.Addr, flow uint64, target uint32)
+	// Record takes the outcome of a request of a service.
+	Record func(service string, o recorder.Outcome, now time.Time)
 	Logger zerolog.Logger
 }
 
@@ -242,9 +254,13 @@
 	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.Opens).
 		Bool("reset", isOrphan).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age_ms", age).
 		Msg("no target left for packet")
+	if p.Opens {
+		d.options.Record(d.options.Service, recorder.OutcomeRefused, now)
+	}
 	if !isOrphan {
 		return
 	}
+	d.options.Record(d.options.Service, recorder.OutcomeBroken, now)
 	reset := d.options.Codec.EncodeReset(datagram[:0], p)
 	to := batcher.NewAddress(netip.AddrPortFrom(p.Source.Addr(), d.options.Address.Port()))
 	writer.Add(reset, &to)
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -10,6 +10,7 @@
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
@@ -29,6 +30,7 @@
 		Chooser:  chooser.NewChooser(func(uint32) bool { return false }, func(uint32) (chooser.Report, bool) { return chooser.Report{}, true }),
 		Tracker:  tracker.NewTracker(tracker.Options{}),
 		TableAge: func(time.Time) time.Duration { return 0 },
+		Record:   func(string, recorder.Outcome, time.Time) {},
 	})
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = d.Close() })
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -63,6 +63,7 @@
 	requests    chan request
 	wanted      atomic.Bool
 	wake        chan struct{}
+	isLost      atomic.Bool // the last read of the platform failed
 	revision    atomic.Uint64
 	pulling     bool
 	pullAfter   time.Time
@@ -114,6 +115,27 @@
 // Revision returns the revision that the table is complete up to.
 func (f *Follower) Revision() uint64 { return f.revision.Load() }
 
+// IsReady reports whether a table is known.
+func (f *Follower) IsReady() bool {
+	select {
+	case <-f.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// IsReading reports whether this process reads the platform.
+func (f *Follower) IsReading() bool { return f.wanted.Load() }
+
+// IsPlatformLost reports whether this process reads the platform and the last
+// read failed.
+func (f *Follower) IsPlatformLost() bool { return f.isLost.Load() && f.wanted.Load() }
+
+// IsStale reports whether the table was not known to be current for so long
+// that the process reads the platform itself.
+func (f *Follower) IsStale(now time.Time) bool { return f.Age(now) > staleAfter }
+
 // Age returns the time since the table was last known to be current.
 func (f *Follower) Age(now time.Time) time.Duration {
 	return now.Sub(f.start) - time.Duration(f.confirmedAt.Load())
@@ -215,7 +237,7 @@
 	}
 	f.lastTick = now
 	f.consultPeers(ctx, now)
-	reads := !f.registrar.HasConfig() || f.Age(now) > staleAfter || f.options.IsReader(f.Table())
+	reads := !f.registrar.HasConfig() || f.IsStale(now) || f.options.IsReader(f.Table())
 	if reads != f.isReading {
 		f.isReading = reads
 		f.options.Logger.Info().Bool("reads", reads).Dur("table_age_ms", f.Age(now)).Msg("reading of the platform changed")
--- a/internal/follower/note.go
+++ b/internal/follower/note.go
@@ -9,9 +9,15 @@
 
 // noteAnswer records whether the platform answers.
 func (f *Follower) noteAnswer(err error, now time.Time) {
-	switch {
-	case err != nil && !errors.Is(err, ErrCompacted):
+	isFailed := err != nil && !errors.Is(err, ErrCompacted)
+	f.isLost.Store(isFailed)
+	if isFailed {
 		readsFailed.Inc()
+	} else {
+		readsDone.Inc()
+	}
+	switch {
+	case isFailed:
 		if f.lostAt.IsZero() {
 			f.lostAt = now
 			f.options.Logger.Warn().Err(err).Dur("table_age_ms", f.Age(now)).Msg("platform lost")
@@ -19,8 +25,6 @@
 	case !f.lostAt.IsZero():
 		f.options.Logger.Info().Dur("duration_ms", now.Sub(f.lostAt)).Msg("platform regained")
 		f.lostAt = time.Time{}
-	default:
-		readsDone.Inc()
 	}
 }
 
--- /dev/null
+++ b/internal/presenter/presenter.go
@@ -0,0 +1,218 @@
+// Package presenter shows the state of a process that serves packet flows to
+// operators: its table, its targets, its flows and the outcomes of requests.
+//
+// A process sees packets, not requests. It counts data of a caller that the
+// target answered with data as good, whatever the answer says and however long
+// it is; it does not know the latency objective, so no outcome is late.
+//
+// # Usage
+//
+//	p := presenter.NewPresenter(presenter.Options{Settings: settings, Follower: f, Signaller: s, ...})
+//	go p.Run(ctx)
+//	server, err := operator.NewServer(operator.Options{TLS: config, Logger: log, Status: p.Status, Targets: p.Targets, Flows: p.Flows, Burn: p.Burn})
+package presenter
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	api "kingcupvalve.example/kingcupvalve/internal/api/operator"
+	"kingcupvalve.example/kingcupvalve/internal/follower"
+	"kingcupvalve.example/kingcupvalve/internal/operator"
+	"kingcupvalve.example/kingcupvalve/internal/parser"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/signaller"
+	"kingcupvalve.example/kingcupvalve/internal/tracker"
+)
+
+// targetWeight is the weight of every target: packet flows have none.
+const targetWeight = 1
+
+// Options describe a process.
+type Options struct {
+	Settings    *parser.Settings
+	Incarnation uint64
+	Follower    *follower.Follower
+	Signaller   *signaller.Signaller
+	// Tracker has the flows of an agent's target; nil at a balancer.
+	Tracker *tracker.Tracker
+	// IsLeaving reports whether the process is in a planned stop.
+	IsLeaving func() bool
+	// Counters returns the packet counters of the role.
+	Counters func() map[string]uint64
+}
+
+// Presenter answers the operator API of one process. It is safe for concurrent
+// use.
+type Presenter struct {
+	options  Options
+	recorder *recorder.Recorder
+	// backend is the address of an agent's target.
+	backend   netip.AddrPort
+	startedAt time.Time
+}
+
+// NewPresenter returns a presenter without outcomes.
+func NewPresenter(options Options) *Presenter {
+	return &Presenter{
+		options: options, recorder: recorder.NewRecorder(recorder.Options{}), backend: options.Settings.Packets().BackendAddress(),
+		startedAt: time.Now(),
+	}
+}
+
+// Run records changes of the table and of targets until the context ends.
+func (p *Presenter) Run(ctx context.Context) { p.recorder.Follow(ctx, p.state) }
+
+// Record counts the outcome of a request of a service. An agent's outcomes
+// belong to its own target.
+func (p *Presenter) Record(service string, o recorder.Outcome, now time.Time) {
+	p.recorder.Record(service, p.ownTarget(), o, now)
+}
+
+// ownTarget returns the name of an agent's target; a balancer has none.
+func (p *Presenter) ownTarget() string {
+	_, t, ok := p.options.Follower.Table().TargetAt(p.backend)
+	if !ok {
+		return ""
+	}
+	return t.ID
+}
+
+func (p *Presenter) state(now time.Time) *recorder.State {
+	table := p.options.Follower.Table()
+	s := recorder.NewState(table.Version(), p.options.Follower.IsPlatformLost(), p.options.Follower.IsStale(now))
+	table.Targets(func(n uint32, t *router.Target) { s.AddTarget(n, t.Service, t.ID, p.options.Signaller.IsDown(n)) })
+	return s
+}
+
+// Status returns the state of the process.
+func (p *Presenter) Status() api.Status {
+	now, o := time.Now(), p.options
+	status := api.Status{
+		Process: o.Settings.Process(), Role: api.StatusRole(o.Settings.Role()), AvailabilityZone: o.Settings.AvailabilityZone(),
+		Version: operator.Version(), Incarnation: strconv.FormatUint(o.Incarnation, 16), StartedAt: p.startedAt,
+		State: p.stateName(), Revision: int64(o.Follower.Revision()), ConfigState: p.configState(now),
+		Peers: api.NewOptInt32(int32(len(o.Signaller.Peers()))), WatchesPlatform: api.NewOptBool(o.Follower.IsReading()),
+		Counters: api.StatusCounters{"config_version": int64(o.Follower.Table().Version()), "table_age_ms": o.Follower.Age(now).Milliseconds()},
+	}
+	if service := o.Settings.Packets().Service(); service != "" {
+		status.Service = api.NewOptString(service)
+	}
+	for name, n := range o.Counters() {
+		status.Counters[name] = int64(n)
+	}
+	return status
+}
+
+func (p *Presenter) stateName() api.StatusState {
+	switch {
+	case p.options.IsLeaving():
+		return api.StatusStateDraining
+	case p.options.Follower.IsReady():
+		return api.StatusStateServing
+	default:
+		return api.StatusStateStarting
+	}
+}
+
+// configState names the condition that an operator has to look at first.
+func (p *Presenter) configState(now time.Time) api.StatusConfigState {
+	switch {
+	case !p.options.Follower.IsReady():
+		return api.StatusConfigStateNone
+	case p.options.Follower.IsPlatformLost():
+		return api.StatusConfigStatePlatformUnreachable
+	case p.options.Follower.IsStale(now):
+		return api.StatusConfigStatePlatformStale
+	default:
+		return api.StatusConfigStateInForce
+	}
+}
+
+// Targets returns the targets of a service, or all when it is empty.
+func (p *Presenter) Targets(service string) []api.TargetState {
+	now := time.Now()
+	var states []api.TargetState
+	p.options.Follower.Table().Targets(func(n uint32, t *router.Target) {
+		if service == "" || service == t.Service {
+			states = append(states, p.targetState(n, t, now))
+		}
+	})
+	slices.SortFunc(states, func(a, b api.TargetState) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	return states
+}
+
+func (p *Presenter) targetState(n uint32, t *router.Target, now time.Time) api.TargetState {
+	state := api.TargetState{
+		Service: t.Service, Target: t.ID, Number: int64(n), Host: api.NewOptString(t.Address.Addr().String()), Weight: targetWeight,
+		Slots: api.NewOptInt32(int32(t.Slots)),
+	}
+	peer, isKnown := p.options.Signaller.Target(n)
+	if isKnown {
+		state.Running, state.LastSeenMs = api.NewOptInt32(int32(peer.Running)), api.NewOptInt64(now.Sub(peer.HeardAt).Milliseconds())
+	}
+	isOwn := t.Address == p.backend
+	if isOwn && p.options.Tracker != nil {
+		load := p.options.Tracker.Load(now)
+		peer.IsSilent, peer.IsSuspect, peer.IsLeaving = load.IsSilent, load.IsSuspect, p.options.IsLeaving()
+		state.Running = api.NewOptInt32(int32(load.Running))
+	}
+	var reason string
+	state.State, reason = describeTarget(t, peer, isKnown || isOwn, p.options.Signaller.IsDown(n))
+	if reason != "" {
+		state.Reason = api.NewOptString(reason)
+	}
+	return state
+}
+
+// describeTarget returns the state of a target and why it is not simply
+// serving.
+func describeTarget(t *router.Target, peer signaller.Peer, isKnown, isDown bool) (api.TargetStateState, string) {
+	switch {
+	case t.State == router.Gone:
+		return api.TargetStateStateLeaving, "not listed any more; keeps its flows"
+	case t.State == router.Draining:
+		return api.TargetStateStateDraining, ""
+	case isDown:
+		return api.TargetStateStateDown, "its agent does not answer"
+	case peer.IsSilent:
+		return api.TargetStateStateFailing, "leaves opening packets unanswered"
+	case peer.IsSuspect:
+		return api.TargetStateStateEjected, "answers much sooner or later than usual, or lost open flows"
+	case peer.IsLeaving:
+		return api.TargetStateStateLeaving, "its agent is in a planned stop"
+	case t.State == router.Lapsed:
+		return api.TargetStateStateUnknown, "its entry lapsed a short time ago"
+	case t.IsFresh:
+		return api.TargetStateStateWarming, "other processes may not know it yet"
+	case !isKnown:
+		return api.TargetStateStateUnknown, "its agent was not heard of yet"
+	}
+	return api.TargetStateStateServing, ""
+}
+
+// Flows returns at most limit flows of an agent's target.
+func (p *Presenter) Flows(limit int) []api.Flow {
+	flows := []api.Flow{}
+	if p.options.Tracker == nil {
+		return flows
+	}
+	for _, f := range p.options.Tracker.Flows(limit) {
+		flows = append(flows, api.Flow{
+			Caller: f.Caller().String(), Service: p.options.Settings.Packets().Service(), OpenedAt: f.OpenedAt(), Requests: int64(f.Requests()),
+		})
+	}
+	return flows
+}
+
+// Burn returns the outcome counts and events since a time.
+func (p *Presenter) Burn(since time.Time) api.Burn {
+	return operator.BurnSource(p.recorder, p.options.Settings.Process(), p.ownTarget(), p.startedAt)(since)
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -25,6 +25,7 @@
 	"kingcupvalve.example/kingcupvalve/internal/batcher"
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
@@ -45,6 +46,14 @@
 	resetsSent = metrics.GetOrCreateCounter("kingcupvalve_steerer_resets_total")
 )
 
+// Counters returns the packet counters of the process by name.
+func Counters() map[string]uint64 {
+	return map[string]uint64{
+		"packets_forwarded": forwarded.Get(), "flows_opened": opened.Get(), "drop_malformed": malformed.Get(),
+		"drop_unrouted": unrouted.Get(), "drop_untargeted": untargeted.Get(), "resets_sent": resetsSent.Get(),
+	}
+}
+
 // Options configures a Steerer.
 type Options struct {
 	// Address is the UDP address that routers send to; agents use its port too.
@@ -56,6 +65,8 @@
 	Chooser  *chooser.Chooser
 	// IsDown reports whether the agent of a target does not answer.
 	IsDown func(target uint32) bool
+	// Record takes the outcome of a request of a service.
+	Record func(service string, o recorder.Outcome, now time.Time)
 	Logger zerolog.Logger
 }
 
@@ -122,6 +133,9 @@
 	hop, ok := s.place(table, route, p, now)
 	if !ok {
 		untargeted.Inc()
+		if p.Opens {
+			s.options.Record(route.ServiceOf(p.Key()), recorder.OutcomeRefused, now)
+		}
 		s.options.Logger.Warn().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.Opens).
 			Uint64("version", table.Version()).Msg("no target for packet")
 		return
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -10,6 +10,7 @@
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
@@ -34,6 +35,7 @@
 	w.Steerer, err = NewSteerer(t.Context(), Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Table: func() *router.Table { return w.table }, IsDown: isDown,
 		TableAge: func(time.Time) time.Duration { return 0 }, Logger: zerolog.Nop(),
+		Record:  func(string, recorder.Outcome, time.Time) {},
 		Chooser: chooser.NewChooser(isDown, func(uint32) (chooser.Report, bool) { return chooser.Report{Slots: 2}, true }),
 	})
 	is.New(t).NoErr(err)
--- a/internal/supervisor/status.go
+++ b/internal/supervisor/status.go
@@ -1,8 +1,6 @@
 package supervisor
 
 import (
-	"context"
-	"fmt"
 	"strconv"
 	"time"
 
@@ -13,14 +11,11 @@
 	"kingcupvalve.example/kingcupvalve/internal/watcher"
 )
 
-// eventInterval is the time between two looks at what the events record.
-const eventInterval = 500 * time.Millisecond
-
 func (s *Supervisor) status() api.Status {
 	w := s.watcher.Status()
 	status := api.Status{
 		Process: s.settings.Process(), Role: api.StatusRole(s.settings.Role()), AvailabilityZone: s.settings.AvailabilityZone(),
-		Version: version(), Incarnation: strconv.FormatUint(s.incarnation, 16), StartedAt: s.startedAt,
+		Version: operator.Version(), Incarnation: strconv.FormatUint(s.incarnation, 16), StartedAt: s.startedAt,
 		State: s.stateName(), Revision: int64(w.Revision()), ConfigState: configState(w),
 		ConfigSource: api.NewOptString(w.Source()), WatchesPlatform: api.NewOptBool(w.IsWatching()),
 		Counters: api.StatusCounters{},
@@ -125,80 +120,25 @@
 	return operator.BurnSource(s.recorder, s.settings.Process(), target, s.startedAt)(since)
 }
 
-// recordEvents turns changes of configuration, platform and targets into
-// events of the burn report.
-func (s *Supervisor) recordEvents(ctx context.Context) {
-	ticker := time.NewTicker(eventInterval)
-	defer ticker.Stop()
-	var last eventState
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			next := s.eventState()
-			for _, e := range last.changes(next, s.watcher.Snapshot()) {
-				s.recorder.AddEvent(e, now)
-			}
-			last = next
-		}
-	}
-}
-
-// eventState is what the recorded events are derived from.
-type eventState struct {
-	revision    uint64
-	unreachable bool
-	stale       bool
-	down        map[uint32]bool
-}
-
-func (s *Supervisor) eventState() eventState {
+// eventState returns what the events of the burn report are derived from.
+func (s *Supervisor) eventState(time.Time) *recorder.State {
 	w := s.watcher.Status()
-	state := eventState{revision: w.Revision(), unreachable: w.IsPlatformUnreachable(), stale: w.IsPlatformStale(), down: map[uint32]bool{}}
-	if v := s.view.Load(); v != nil && v.targets != nil {
-		for number, t := range v.targets() {
-			state.down[number] = t.state == api.TargetStateStateDown
-		}
+	state := recorder.NewState(w.Revision(), w.IsPlatformUnreachable(), w.IsPlatformStale())
+	v := s.view.Load()
+	if v == nil || v.targets == nil {
+		return state
 	}
-	return state
-}
-
-func (e eventState) changes(next eventState, snapshot *cataloger.Snapshot) []recorder.Event {
-	var events []recorder.Event
-	add := func(kind recorder.EventKind, service, target, message string) {
-		events = append(events, recorder.NewEvent(kind, service, target, message))
-	}
-	if next.revision != e.revision {
-		add(recorder.EventRevision, "", "", fmt.Sprintf("revision %d in force", next.revision))
-	}
-	if next.unreachable != e.unreachable {
-		add(recorder.EventPlatform, "", "", describe(next.unreachable, "platform is unreachable", "platform is reachable"))
-	}
-	if next.stale != e.stale {
-		add(recorder.EventPlatform, "", "", describe(next.stale, "platform is stale", "platform is current"))
-	}
-	for number, down := range next.down {
+	snapshot := s.watcher.Snapshot()
+	for number, view := range v.targets() {
 		t, ok := snapshot.TargetByNumber(number)
-		if !ok || down == e.down[number] {
+		if !ok {
 			continue
 		}
 		service := ""
 		if sv, ok := snapshot.ServiceByNumber(t.Service()); ok {
 			service = sv.Name()
 		}
-		if down {
-			add(recorder.EventTargetDown, service, t.Name(), t.Name()+" is down")
-		} else {
-			add(recorder.EventTargetUp, service, t.Name(), t.Name()+" is up")
-		}
+		state.AddTarget(number, service, t.Name(), view.state == api.TargetStateStateDown)
 	}
-	return events
-}
-
-func describe(condition bool, yes, no string) string {
-	if condition {
-		return yes
-	}
-	return no
+	return state
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -22,7 +22,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -104,7 +103,7 @@
 		return nil, merry.Prepend(err, "start process")
 	}
 	meter.Register(meter.Process{
-		Role: settings.Role(), Version: version(), StartedAt: s.startedAt,
+		Role: settings.Role(), Version: operator.Version(), StartedAt: s.startedAt,
 		Revision: func() uint64 { return s.watcher.Status().Revision() },
 	})
 	return s, nil
@@ -117,13 +116,6 @@
 	return uint64(now.UnixMilli())<<20 | rand.Uint64N(1<<20)
 }
 
-func version() string {
-	if info, ok := debug.ReadBuildInfo(); ok {
-		return info.Main.Version
-	}
-	return "unknown"
-}
-
 func (s *Supervisor) buildMessenger() error {
 	server, err := s.settings.PeerTLS().ServerConfig()
 	if err != nil {
@@ -198,7 +190,7 @@
 	group.Go(func() error { return s.watcher.Run(groupContext) })
 	group.Go(func() error { return s.operator.Serve(groupContext, s.listener) })
 	group.Go(func() error {
-		s.recordEvents(groupContext)
+		s.recorder.Follow(groupContext, s.eventState)
 		return nil
 	})
 	group.Go(func() error {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -9,11 +9,12 @@
 
 	"kingcupvalve.example/kingcupvalve/internal/assessor"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 )
 
 // Defaults of Options and limits of a tracker.
 const (
-	// DefaultMaxFlows bounds the memory of a tracker to about 10 MB.
+	// DefaultMaxFlows bounds the memory of a tracker to about 15 MB.
 	DefaultMaxFlows = 65_536
 	// DefaultIdleTimeout is used while no configuration states one.
 	DefaultIdleTimeout = 15 * time.Second
@@ -37,9 +38,12 @@
 	MaxFlows int
 	// Slots returns the slots of the target, 0 while they are not known.
 	Slots func() int
+	// Record takes the outcome of a request.
+	Record func(o recorder.Outcome, now time.Time)
 }
 
 type flow struct {
+	caller    netip.AddrPort
 	published netip.AddrPort
 	// isQueued is set when the request had to wait for a slot.
 	isQueued bool
@@ -54,6 +58,7 @@
 	hasEnded     bool // either end has closed the flow
 	via          netip.Addr
 	hops         uint8
+	requests     uint32     // begun since the flow was opened
 	hinted       netip.Addr // balancer that has the hint
 }
 
@@ -79,6 +84,9 @@
 	if options.Slots == nil {
 		options.Slots = func() int { return 0 }
 	}
+	if options.Record == nil {
+		options.Record = func(recorder.Outcome, time.Time) {}
+	}
 	return &Tracker{options: options, flows: make(map[uint64]*flow), assessor: assessor.NewAssessor()}
 }
 
@@ -94,7 +102,7 @@
 		if len(t.flows) >= t.options.MaxFlows {
 			return
 		}
-		f = &flow{published: p.Destination, opened: now, hasSent: !p.Opens, sentUpTo: p.Sequence}
+		f = &flow{caller: p.Source, published: p.Destination, opened: now, hasSent: !p.Opens, sentUpTo: p.Sequence}
 		t.flows[key] = f
 		if p.Opens {
 			t.opening++
@@ -107,6 +115,7 @@
 		f.hasSent, f.sentUpTo = true, end
 		if !f.waiting {
 			t.setWaiting(f, true)
+			f.requests++
 			f.waitingSince = now
 			slots := t.options.Slots()
 			f.isQueued = slots > 0 && t.running > slots
@@ -114,13 +123,22 @@
 	}
 	if p.Ends {
 		f.hasEnded = true
-		t.setWaiting(f, false)
+		t.finish(f, recorder.OutcomeUnknown, now)
 	}
 	if p.Resets {
+		t.finish(f, recorder.OutcomeUnknown, now)
 		t.remove(key, f)
 	}
 }
 
+// finish ends the request of a flow, if there is one.
+func (t *Tracker) finish(f *flow, o recorder.Outcome, now time.Time) {
+	if f.waiting && f.established {
+		t.options.Record(o, now)
+	}
+	t.setWaiting(f, false)
+}
+
 // setWaiting keeps the number of running requests. Data that a target may
 // never have received, because it has not sent anything on the flow, does not
 // count.
@@ -159,9 +177,10 @@
 			answerTime.Update(took.Seconds())
 			t.assessor.Observe(f.published, took, f.isQueued, now)
 		}
-		t.setWaiting(f, false)
+		t.finish(f, recorder.OutcomeGood, now)
 	}
 	if p.Resets {
+		t.finish(f, recorder.OutcomeBroken, now)
 		t.remove(key, f)
 		return netip.Addr{}, false
 	}
@@ -184,6 +203,7 @@
 	}
 	if f.established && !f.hasEnded {
 		t.assessor.ObserveLoss(now)
+		t.finish(f, recorder.OutcomeBroken, now)
 	}
 	t.remove(key, f)
 	return framer.Mark{Via: f.via, Hops: f.hops}
@@ -212,9 +232,10 @@
 	for key, f := range t.flows {
 		switch {
 		case now.Sub(f.lastSeen) > idleTimeout:
+			t.finish(f, recorder.OutcomeUnknown, now)
 			t.remove(key, f)
 		case f.waiting && now.Sub(f.waitingSince) > requestTimeout:
-			t.setWaiting(f, false)
+			t.finish(f, recorder.OutcomeUnknown, now)
 		case !f.hasSent && now.Sub(f.opened) > openingTime:
 			t.endOpening(f)
 		}
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/recorder"
 )
 
 const key = 7
@@ -142,3 +143,53 @@
 		is.True(!ok)
 	})
 }
+
+// TestOutcomes guards against a burn report that hides requests which a target
+// never answered.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(t *Tracker)
+		want []recorder.Outcome
+	}{
+		{"an answer", func(t *Tracker) { t.Answered(key, framer.Packet{Length: 10}, start) }, []recorder.Outcome{recorder.OutcomeGood}},
+		{"the target's reset", func(t *Tracker) { t.Answered(key, framer.Packet{Resets: true}, start) }, []recorder.Outcome{recorder.OutcomeBroken}},
+		{"a flow that the target lost", func(t *Tracker) { t.Returned(key, start) }, []recorder.Outcome{recorder.OutcomeBroken}},
+		{"the caller's reset", func(t *Tracker) { t.Delivered(key, framer.Packet{Resets: true}, start) }, []recorder.Outcome{recorder.OutcomeUnknown}},
+		{"no answer", func(t *Tracker) { t.Tick(start.Add(requestTimeout+1), time.Minute) }, []recorder.Outcome{recorder.OutcomeUnknown}},
+		{"an idle flow", func(t *Tracker) { t.Tick(start.Add(2*time.Second), time.Second) }, []recorder.Outcome{recorder.OutcomeUnknown}},
+		{"nothing yet", func(t *Tracker) { t.Tick(start.Add(time.Second), time.Minute) }, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var outcomes []recorder.Outcome
+			tr := NewTracker(Options{Record: func(o recorder.Outcome, _ time.Time) { outcomes = append(outcomes, o) }})
+			openFlow(tr, start)
+			tr.Delivered(key, data(101), start)
+			c.end(tr)
+			is.Equal(outcomes, c.want)
+			tr.Tick(start.Add(time.Hour), time.Second) // an outcome counts once
+			is.True(len(outcomes) <= 1)
+		})
+	}
+}
+
+func TestFlows(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker(Options{})
+	for i := range uint64(3) {
+		p := open(0)
+		p.Source = netip.AddrPortFrom(balancer, uint16(i))
+		tr.Delivered(i, p, start.Add(-time.Duration(i)*time.Second))
+		if i > 0 {
+			tr.Answered(i, framer.Packet{Opens: true, Answers: true}, start)
+		}
+	}
+	tr.Delivered(2, data(101), start)
+	flows := tr.Flows(10)
+	is.Equal(len(flows), 2) // the target has not answered the first
+	is.Equal(flows[0].Caller().Port(), uint16(2))
+	is.Equal(flows[0].Requests(), 1)
+	is.Equal(flows[0].OpenedAt(), start.Add(-2*time.Second))
+	is.Equal(len(tr.Flows(1)), 1)
+}
--- a/internal/validator/packets.go
+++ b/internal/validator/packets.go
@@ -9,7 +9,7 @@
 
 // unusedWithPackets are the sections that the HTTP/3 way of serving needs and
 // packet flows ignore.
-var unusedWithPackets = []string{"key_ring", "tls", "tunnel_address", "tunnel_mtu", "operator_address", "balancer", "agent"}
+var unusedWithPackets = []string{"key_ring", "tls.callers", "tls.peers", "tunnel_address", "tunnel_mtu", "balancer", "agent"}
 
 // checkPackets checks the settings of a process that serves packet flows.
 func (c *settingsCheck) checkPackets() {
@@ -25,6 +25,7 @@
 	if c.positions.Has("packets.metrics_address") {
 		c.checkAddress("packets.metrics_address", c.text("packets.metrics_address"))
 	}
+	c.checkOperators()
 	c.checkSeeds()
 	agentKeys := []string{"packets.outbound_address", "packets.backend_address", "packets.service"}
 	for _, key := range agentKeys {
@@ -42,3 +43,16 @@
 	c.checkLog()
 	c.checkDurations()
 }
+
+// checkOperators checks the operator API, which is optional. Processes without
+// TLS between them have no certificate that it could use instead of its own.
+func (c *settingsCheck) checkOperators() {
+	hasAddress, hasFiles := c.positions.Has("operator_address"), c.positions.Has("tls.operators")
+	switch {
+	case hasAddress:
+		c.checkAddress("operator_address", c.text("operator_address"))
+		c.checkTLSFiles("tls.operators", c.settings.OperatorTLS(), true)
+	case hasFiles:
+		c.add("tls.operators", parser.FaultConflict, "", "the key tls.operators only with operator_address")
+	}
+}
--- a/internal/validator/packets_test.go
+++ b/internal/validator/packets_test.go
@@ -51,6 +51,9 @@
 		{"a balancer with a backend server", "role: agent", "role: balancer", "only with role agent"},
 		{"an unknown key", "  service:", "  servce:", "service"},
 		{"sections of the other way of serving", "packets:", "tunnel_mtu: 1500\npackets:", "only without packets"},
+		{"an operator address without certificates", "packets:", "operator_address: 10.1.0.12:7721\npackets:", "tls.operators.certificate: missing"},
+		{"certificates without an operator address", "packets:", "tls:\n  operators: {certificate: a.pem, key: b.pem, ca: c.pem}\npackets:", "only with operator_address"},
+		{"certificates of sessions that have none", "packets:", "tls:\n  peers: {certificate: a.pem, key: b.pem, ca: c.pem}\npackets:", "only without packets"},
 		{"a seed twice", `["10.1.0.10:8166"]`, `["10.1.0.10:8166", "10.1.0.10:8166"]`, "seeds[1]"},
 	} {
 		t.Run(c.name+" is refused with its place", func(t *testing.T) {
