Let the stand-in of agents reset flows whose caller only listens

Cause: quic-go answers no packet of up to 42 bytes with a stateless reset. A caller with nothing unacknowledged sends only keepalives of some 27 bytes, so after the agent was killed the feed of TestFeed/a_killed_agent waited for the idle timeout of 200 s. Under load the acknowledgements of the last events were more often all done before the kill. The product is not affected: package listener writes the reset itself for packets from 22 bytes on, see reset.go. Ruled out: a lost datagram (probes repeat within the 20 s), the feed's own waiting (a dump of its goroutines shows the stream still open).

Change: the stand-in pads packets of connections that it did not open, so that quic-go answers them, as agents do. TestReset sends one such keepalive and fails without the change.

--- a/standin/responder/responder.go
+++ b/standin/responder/responder.go
@@ -61,12 +61,13 @@
 
 // Start listens at the address of an earlier start, or at a free one.
 func (s *Server) Start() error {
-	socket, err := net.ListenUDP("udp4", s.address)
+	udp, err := net.ListenUDP("udp4", s.address)
 	if err != nil {
 		return merry.Prepend(err, "listen on loopback")
 	}
-	s.address = socket.LocalAddr().(*net.UDPAddr)
-	transport := &quic.Transport{Conn: socket, StatelessResetKey: &s.reset}
+	s.address = udp.LocalAddr().(*net.UDPAddr)
+	socket := newSocket(udp)
+	transport := &quic.Transport{Conn: socket, StatelessResetKey: &s.reset, ConnectionIDGenerator: socket}
 	listener, err := transport.Listen(s.tls, &quic.Config{MaxIdleTimeout: s.idle})
 	if err != nil {
 		return merry.Prepend(err, "listen for connections")
