Derive how often the platform is read from the deadlines in the settings

Cause: the follower's times (watch 1 s, stale after 1.8 s, pause 300 ms) were fixed for bounds of 3 s, although the platform states its bounds in the settings of each installation. A shorter bound could not be met after the loss of all readers, a longer one read more than needed.

Change: packets.config_deadline and packets.target_deadline (3 s by default, 1 s to 1 m); the shorter one sets the times as parts.

--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -12,7 +12,7 @@
 )
 
 // readers is the number of agents that watch the platform. Three survive the
-// loss of two, and the others notice within staleAfter when all are lost.
+// loss of two, and the others notice a stale table when all are lost.
 const readers = 3
 
 // describe returns the beacon of the process.
--- a/internal/follower/doc.go
+++ b/internal/follower/doc.go
@@ -2,8 +2,8 @@
 //
 // A few agents, chosen by a hash of their targets' names, watch the platform.
 // Every other process learns from beacons that a peer has a newer table and
-// fetches the changes from it. A process that has not heard for staleAfter that
-// its table is current watches the platform itself, so nothing depends on any
+// fetches the changes from it. A process that has not heard for a part of the
+// deadline that its table is current watches the platform itself, so nothing depends on any
 // single process, and a process that the platform turns away still learns from
 // its peers.
 //
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -17,10 +17,6 @@
 const (
 	// tickInterval is the resolution of the control state.
 	tickInterval = 50 * time.Millisecond
-	// staleAfter leaves more than half of the 3 s in which a change must be in
-	// force for a read of the platform. A watch ends after watchWait without
-	// changes, and beacons take up to 300 ms.
-	staleAfter = 1800 * time.Millisecond
 	// pullTimeout bounds a fetch from a peer.
 	pullTimeout = 700 * time.Millisecond
 	// unconfirmedAge is the age of a table that nothing was read into.
@@ -47,6 +43,8 @@
 	// IsReader reports whether this process is one of those that watch the
 	// platform.
 	IsReader func(t *router.Table) bool
+	// Deadline is the time in which a change must be in force.
+	Deadline time.Duration
 	Logger   zerolog.Logger
 }
 
@@ -54,6 +52,7 @@
 // use.
 type Follower struct {
 	options     Options
+	cadence     cadence
 	registrar   *registrar.Registrar
 	table       atomic.Pointer[router.Table]
 	confirmedAt atomic.Int64 // ns after start
@@ -91,7 +90,7 @@
 // NewFollower returns a follower without a table.
 func NewFollower(options Options) *Follower {
 	f := &Follower{
-		options: options, registrar: registrar.NewRegistrar(), start: time.Now(), ready: make(chan struct{}),
+		options: options, cadence: newCadence(options.Deadline), registrar: registrar.NewRegistrar(), start: time.Now(), ready: make(chan struct{}),
 		results: make(chan result, 4), requests: make(chan request), wake: make(chan struct{}, 1),
 	}
 	f.table.Store(router.NewTable(router.Config{}, nil, 0))
@@ -134,7 +133,7 @@
 
 // IsStale reports whether the table was not known to be current for so long
 // that the process reads the platform itself.
-func (f *Follower) IsStale(now time.Time) bool { return f.Age(now) > staleAfter }
+func (f *Follower) IsStale(now time.Time) bool { return f.Age(now) > f.cadence.staleAfter }
 
 // Age returns the time since the table was last known to be current.
 func (f *Follower) Age(now time.Time) time.Duration {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -69,9 +69,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		options := Options{
 			Source: s.source(), Peers: func() []Peer { return nil }, IsReader: func(*router.Table) bool { return true },
-			Pull:   func(context.Context, netip.Addr, uint64) (Batch, error) { return Batch{}, errDown },
-			Seeds:  func() []netip.Addr { return nil },
-			Logger: zerolog.Nop(),
+			Pull:     func(context.Context, netip.Addr, uint64) (Batch, error) { return Batch{}, errDown },
+			Seeds:    func() []netip.Addr { return nil },
+			Deadline: 3 * time.Second, Logger: zerolog.Nop(),
 		}
 		if change != nil {
 			change(&options)
@@ -180,6 +180,39 @@
 			is.Equal(f.Table().Version(), uint64(2))
 		})
 	})
+	for _, deadline := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 6 * time.Second} {
+		// Guards against installations whose bounds are not 3 s.
+		t.Run("a change is in force within "+deadline.String()+" of the loss of all readers", func(t *testing.T) {
+			s := newStore(1)
+			var lostAt time.Time
+			setup(t, s, func(o *Options) {
+				o.Deadline = deadline
+				o.IsReader = func(*router.Table) bool { return false }
+				lostAt = time.Now().Add(10 * time.Second)
+				o.Peers = func() []Peer {
+					return []Peer{{Revision: 1, ConfirmedAt: time.UnixMicro(min(time.Now().UnixMicro(), lostAt.UnixMicro()))}}
+				}
+			}, func(is *is.I, f *Follower) {
+				<-f.Ready()
+				time.Sleep(time.Until(lostAt) + time.Millisecond)
+				s.version.Store(2)
+				time.Sleep(deadline)
+				is.Equal(f.Table().Version(), uint64(2))
+			})
+		})
+		t.Run("a silent channel of a reader delays a change by less than "+deadline.String(), func(t *testing.T) {
+			s := newStore(1)
+			setup(t, s, func(o *Options) { o.Deadline = deadline }, func(is *is.I, f *Follower) {
+				<-f.Ready()
+				s.isSilent.Store(true)
+				time.Sleep(deadline) // the channel in use is silent
+				s.version.Store(2)
+				s.isSilent.Store(false)
+				time.Sleep(deadline)
+				is.Equal(f.Table().Version(), uint64(2))
+			})
+		})
+	}
 	t.Run("failed calls are at least 50 ms apart", func(t *testing.T) {
 		s := newStore(1)
 		s.isDown.Store(true)
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -8,15 +8,8 @@
 )
 
 const (
-	// watchWait is the time after which a watch without changes returns. It
-	// shows within a second that a channel has gone silent.
-	watchWait = time.Second
-	// answerTime is the time that the platform may take beyond the wait.
-	answerTime = 700 * time.Millisecond
 	// readTimeout bounds a read of everything, which may take several pages.
 	readTimeout = 2 * time.Second
-	// batchPause lets changes that come in quick succession share one call.
-	batchPause = 300 * time.Millisecond
 	// firstPause and lastPause bound the wait after a failed call.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -39,7 +32,7 @@
 		}
 		batch, err := f.readOnce(ctx, whole || f.revision.Load() == 0)
 		whole = errors.Is(err, ErrCompacted)
-		wait := batchPause
+		wait := f.cadence.batchPause
 		switch {
 		case whole:
 			wait = 0
@@ -74,9 +67,9 @@
 		batch.IsWhole, batch.ConfirmedAt = true, sent
 		return batch, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+answerTime)
+	ctx, cancel := context.WithTimeout(ctx, f.cadence.watchWait+f.cadence.answerTime)
 	defer cancel()
-	batch, err := f.options.Source.Watch(ctx, f.revision.Load(), watchWait)
+	batch, err := f.options.Source.Watch(ctx, f.revision.Load(), f.cadence.watchWait)
 	batch.ConfirmedAt = time.Now()
 	return batch, err
 }
--- a/internal/parser/packets.go
+++ b/internal/parser/packets.go
@@ -1,6 +1,9 @@
 package parser
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // packetsDocument is the part of a settings file about flows whose bytes only
 // the two ends read. Its presence selects this way of serving.
@@ -11,8 +14,15 @@
 	OutboundAddress string `yaml:"outbound_address"`
 	BackendAddress  string `yaml:"backend_address"`
 	Service         string `yaml:"service"`
+
+	ConfigDeadline time.Duration `yaml:"config_deadline"`
+	TargetDeadline time.Duration `yaml:"target_deadline"`
 }
 
+// DefaultChangeDeadline is the time in which a change must be in force if the
+// file states none.
+const DefaultChangeDeadline = 3 * time.Second
+
 // Packets are the settings of packet flows.
 type Packets struct {
 	document packetsDocument
@@ -42,3 +52,17 @@
 
 // Service returns the service of an agent's target.
 func (p Packets) Service() string { return p.document.Service }
+
+// ConfigDeadline returns the time in which a configuration must be in force.
+func (p Packets) ConfigDeadline() time.Duration {
+	return withDefault(p.document.ConfigDeadline, DefaultChangeDeadline)
+}
+
+// TargetDeadline returns the time after which a draining target must get no new
+// flows.
+func (p Packets) TargetDeadline() time.Duration {
+	return withDefault(p.document.TargetDeadline, DefaultChangeDeadline)
+}
+
+// ChangeDeadline returns the time in which every change must be in force.
+func (p Packets) ChangeDeadline() time.Duration { return min(p.ConfigDeadline(), p.TargetDeadline()) }
--- a/internal/validator/packets.go
+++ b/internal/validator/packets.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"kingcupvalve.example/kingcupvalve/internal/cataloger"
 	"kingcupvalve.example/kingcupvalve/internal/parser"
@@ -11,6 +12,12 @@
 // packet flows ignore.
 var unusedWithPackets = []string{"key_ring", "tls.callers", "tls.peers", "tunnel_address", "tunnel_mtu", "balancer", "agent"}
 
+const (
+	// minChangeDeadline is above three beacon intervals and a fetch from a peer.
+	minChangeDeadline = time.Second
+	maxChangeDeadline = time.Minute
+)
+
 // checkPackets checks the settings of a process that serves packet flows.
 func (c *settingsCheck) checkPackets() {
 	c.checkProcess()
--- a/internal/validator/packets_test.go
+++ b/internal/validator/packets_test.go
@@ -54,6 +54,8 @@
 		{"an operator address without certificates", "packets:", "operator_address: 10.1.0.12:7721\npackets:", "tls.operators.certificate: missing"},
 		{"certificates without an operator address", "packets:", "tls:\n  operators: {certificate: a.pem, key: b.pem, ca: c.pem}\npackets:", "only with operator_address"},
 		{"certificates of sessions that have none", "packets:", "tls:\n  peers: {certificate: a.pem, key: b.pem, ca: c.pem}\npackets:", "only without packets"},
+		{"a deadline that beacons can't meet", "  service:", "  config_deadline: 900ms\n  service:", "packets.config_deadline: bad value"},
+		{"a deadline without a unit", "  service:", "  target_deadline: fast\n  service:", "target_deadline"},
 		{"a seed twice", `["10.1.0.10:8166"]`, `["10.1.0.10:8166", "10.1.0.10:8166"]`, "seeds[1]"},
 	} {
 		t.Run(c.name+" is refused with its place", func(t *testing.T) {
--- a/internal/validator/settings.go
+++ b/internal/validator/settings.go
@@ -164,6 +164,8 @@
 		{"drain.deadline", c.settings.DrainDeadline(), 100 * time.Millisecond, 24 * time.Hour},
 		{"drain.announce_grace", c.settings.AnnounceGrace(), time.Millisecond, 5 * time.Minute},
 		{"drain.close_grace", c.settings.CloseGrace(), time.Millisecond, time.Minute},
+		{"packets.config_deadline", c.settings.Packets().ConfigDeadline(), minChangeDeadline, maxChangeDeadline},
+		{"packets.target_deadline", c.settings.Packets().TargetDeadline(), minChangeDeadline, maxChangeDeadline},
 	} {
 		if !c.positions.Has(d.key) {
 			continue
