Find the cause of a failed request in lines that do not name its flow

Cause: kingcupvalvectl explain saw only lines of a flow's own processes within 2 s of its own lines, so a request that failed long after its flow was placed, or whose packets reached a dead or stopped balancer, had no cause. A process that was stopped left no line at all.

A process writes 'process did not run' after a pause of 500 ms. The soak keeps every request that it saw fail, runs the explainer on it and prints how many have a cause. What a reset names as its cause must concern the target, since lost processes don't end flows.

The causes were not compared with the injected faults.

--- a/internal/commander/story.go
+++ b/internal/commander/story.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -28,17 +29,21 @@
 func (c *Commander) storyCommand() *cli.Command {
 	return &cli.Command{
 		Name: "explain", Usage: "tell from logs what happened to a packet flow", ArgsUsage: "CALLER_ADDRESS:PORT LOG...",
+		Flags: []cli.Flag{&cli.TimestampFlag{
+			Name: "failed-at", Usage: "time of the failed request as in RFC 3339; what happened near it is searched for the cause",
+			Config: cli.TimestampConfig{Layouts: []string{time.RFC3339Nano}},
+		}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			arguments, err := requireArguments(cmd, 2, -1)
 			if err != nil {
 				return err
 			}
-			return c.explainFlow(arguments[0], arguments[1:])
+			return c.explainFlow(arguments[0], cmd.Timestamp("failed-at"), arguments[1:])
 		},
 	}
 }
 
-func (c *Commander) explainFlow(flow string, paths []string) error {
+func (c *Commander) explainFlow(flow string, failedAt time.Time, paths []string) error {
 	if _, err := netip.ParseAddrPort(flow); err != nil {
 		return merry.Prepend(err, "read the caller's address")
 	}
@@ -51,7 +56,7 @@
 		defer file.Close()
 		logs = append(logs, file)
 	}
-	story, err := explainer.Explain(flow, logs)
+	story, err := explainer.Explain(flow, failedAt, logs)
 	if err != nil {
 		return err
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -43,8 +43,13 @@
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
-// tickInterval is the resolution of beacons, of flow expiry and of a stop.
-const tickInterval = 50 * time.Millisecond
+const (
+	// tickInterval is the resolution of beacons, of flow expiry and of a stop.
+	tickInterval = 50 * time.Millisecond
+	// pauseLimit between two ticks shows that the process did not run. Others
+	// take it for dead about then.
+	pauseLimit = 500 * time.Millisecond
+)
 
 // Platform is what a process needs of the platform.
 type Platform struct {
@@ -210,11 +215,17 @@
 func (c *Conductor) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := time.Now()
+			if pause := now.Sub(last); pause > pauseLimit {
+				c.logger.Warn().Dur("duration_ms", pause).Msg("process did not run")
+			}
+			last = now
 			if agents := c.newAgents.Swap(nil); agents != nil {
 				c.signaller.SetAgents(*agents)
 			}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -3,19 +3,20 @@
 // how it ended.
 //
 // A flow is named by the caller's address and port, as packet captures and the
-// caller's own logs show it. Lines that are cut or no JSON are counted and
-// left out.
+// caller's own logs show it. With the time of a failed request, lines near it
+// are searched for the cause too: a flow may be much older than its request, and
+// one that reached no process has no lines of its own. Lines that are cut or no
+// JSON are counted and left out.
 //
 // # Usage
 //
-//	story, err := explainer.Explain("100.64.0.7:40001", readers)
+//	story, err := explainer.Explain("100.64.0.7:40001", failedAt, readers)
 //	fmt.Println(story.Conclusion())
 package explainer
 
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"encoding/json"
 	"io"
 	"maps"
@@ -29,9 +30,15 @@
 // maxLine is the longest line that is read, in bytes.
 const maxLine = 1 << 20
 
-// nearby is the time before and after a flow's lines in which other lines of
-// the same processes may explain them. Clocks of hosts differ by less as a rule.
-const nearby = 2 * time.Second
+const (
+	// nearby is the time before and after a flow's lines in which other lines of
+	// the same processes may explain them. Clocks of hosts differ by less as a
+	// rule.
+	nearby = 2 * time.Second
+	// aroundFailure is the same for the time of a failed request. It is above the
+	// time in which the entry of a dead target lapses, 3.6 s.
+	aroundFailure = 5 * time.Second
+)
 
 // Messages that say how a search or a flow ended.
 const (
@@ -42,19 +49,27 @@
 	messageNoneLeft  = "no target left for packet"
 	messageTarget    = "target changed"
 	messageStarts    = "process starts"
+	messageLeaves    = "process leaves"
+	messagePaused    = "process did not run"
+	messageLost      = "agent does not answer"
+	messageSilent    = "own target does not answer"
+	messageSuspicion = "suspicion of own target changed"
 )
 
 // backgroundMessages change what a process believes or whether it serves.
 var backgroundMessages = []string{
-	messageStarts, "process leaves", "process stops", "platform lost", "platform regained", "agent does not answer",
-	"agent answers again", "own target does not answer", "own target answers again", messageTarget,
-	"suspicion of own target changed", "settings reloaded",
+	messageStarts, messageLeaves, "process stops", messagePaused, "platform lost", "platform regained", messageLost,
+	"agent answers again", messageSilent, "own target answers again", messageTarget, messageSuspicion, "settings reloaded",
 }
 
+// roleBalancer is the role of the processes that any packet may pass.
+const roleBalancer = "balancer"
+
 // Line is one log line of a story.
 type Line struct {
 	Time         time.Time      `json:"time"`
 	Process      string         `json:"process"`
+	Role         string         `json:"role"`
 	Message      string         `json:"message"`
 	Fields       map[string]any `json:"fields"`
 	IsBackground bool           `json:"is_background"`
@@ -62,7 +77,14 @@
 
 // Story is what the logs say of one flow.
 type Story struct {
-	flow       string
+	flow string
+	// failedAt is the time of the failed request, zero if it is not known.
+	failedAt time.Time
+	// targets has the names of the targets that the flow was forwarded to, places
+	// their addresses and hosts those without the port.
+	targets    map[string]bool
+	places     map[string]bool
+	hosts      map[string]bool
 	lines      []Line
 	unreadable int
 }
@@ -77,9 +99,10 @@
 // Unreadable returns the number of lines that could not be read.
 func (s *Story) Unreadable() int { return s.unreadable }
 
-// Explain reads logs and returns the story of the flow of a caller.
-func Explain(flow string, logs []io.Reader) (*Story, error) {
-	s := &Story{flow: flow}
+// Explain reads logs and returns the story of the flow of a caller. FailedAt is
+// the time of the failed request, or zero.
+func Explain(flow string, failedAt time.Time, logs []io.Reader) (*Story, error) {
+	s := &Story{flow: flow, failedAt: failedAt, targets: map[string]bool{}, places: map[string]bool{}, hosts: map[string]bool{}}
 	var background []Line
 	for _, r := range logs {
 		scanner := bufio.NewScanner(r)
@@ -91,6 +114,7 @@
 				s.unreadable++
 			case line.Fields["caller"] == flow:
 				s.lines = append(s.lines, line)
+				s.addTarget(line)
 			case slices.Contains(backgroundMessages, line.Message):
 				line.IsBackground = true
 				background = append(background, line)
@@ -118,6 +142,7 @@
 	}
 	line := Line{Fields: fields}
 	line.Process, _ = fields["process"].(string)
+	line.Role, _ = fields["role"].(string)
 	line.Message, _ = fields["message"].(string)
 	text, _ := fields["time"].(string)
 	var err error
@@ -130,87 +155,65 @@
 	return line, true
 }
 
-// addBackground adds the lines of the flow's processes near the flow's own
-// ones. Of changed targets, only those that the flow met are of interest.
+// addBackground adds the lines that may explain the flow's own ones.
 func (s *Story) addBackground(background []Line) {
 	own := s.lines
 	for _, l := range background {
-		if slices.ContainsFunc(own, func(o Line) bool { return explains(l, o) }) {
+		isNear := !s.failedAt.IsZero() && l.Time.Sub(s.failedAt).Abs() <= aroundFailure
+		if isNear && s.mayFail(l, own) || slices.ContainsFunc(own, func(o Line) bool { return s.explains(l, o) }) {
 			s.lines = append(s.lines, l)
 		}
 	}
 }
 
 // explains reports whether a background line may explain a line of the flow.
-func explains(background, own Line) bool {
-	if background.Process != own.Process || background.Time.Sub(own.Time).Abs() > nearby {
-		return false
-	}
-	if background.Message != messageTarget {
+func (s *Story) explains(background, own Line) bool {
+	return background.Time.Sub(own.Time).Abs() <= nearby && s.concerns(background, own)
+}
+
+// mayFail reports whether a line near the failed request may explain it. Its
+// packets may have passed any balancer.
+func (s *Story) mayFail(l Line, own []Line) bool {
+	if l.Role == roleBalancer && slices.Contains([]string{messageStarts, messageLeaves, messagePaused}, l.Message) {
 		return true
 	}
-	name := text(own, "target")
-	return name != "" && strings.HasSuffix(text(background, "key"), name)
+	return slices.ContainsFunc(own, func(o Line) bool { return s.concerns(l, o) })
 }
 
-// Conclusion says in one sentence how far the flow came.
-func (s *Story) Conclusion() string {
-	counts := map[string]int{}
-	var placed, reset Line
-	for _, l := range s.lines {
-		counts[l.Message]++
-		switch l.Message {
-		case messagePlaced:
-			placed = l
-		case messageReset, messageNoneLeft:
-			reset = l
-		}
-	}
-	switch {
-	case len(s.lines) == 0:
-		return "no process logged the flow: its packets reached no live balancer, or its lines were left out"
-	case reset.Fields["reset"] == true || counts[messageReset] > 0:
-		return "the flow was reset by " + reset.Process + ": " + cmp.Or(text(reset, "reason"), "no target held it any more")
-	case counts[messagePlaced] > 0 && s.lostAfter(placed):
-		return "the flow was placed by " + placed.Process + ", which was lost or left afterwards"
-	case counts[messagePlaced] > 0 && s.restartedAfter(placed) != "":
-		return "the flow was placed by " + placed.Process + "; " + s.restartedAfter(placed) + " started again afterwards, so packets were lost there"
-	case counts[messagePlaced] > 1:
-		return "the flow was placed more than once, last by " + placed.Process + ": earlier targets did not answer its opening packets"
-	case counts[messagePlaced] == 1:
-		return "the flow was placed by " + placed.Process + "; what happened then lies in the caller, the target or the network"
-	case counts[messageNoneLeft]+counts[messageNoTarget] > 0:
-		return "no target took the flow: all were full, draining or did not answer"
-	case counts[messageForwarded] > 0:
-		return "a balancer forwarded the flow, but no agent received it: the agent or the path was down"
+// concerns reports whether a background line is about a process or a target of
+// the flow. Any process may say that an agent does not answer, but of changed
+// targets only those that the flow met are of interest.
+func (s *Story) concerns(background, own Line) bool {
+	switch background.Message {
+	case messageLost, "agent answers again":
+		return s.hosts[text(background, "address")]
+	case messageTarget:
+		return background.Process == own.Process && (s.targets[changedTarget(background)] || s.places[text(background, "address")])
 	}
-	return "the flow's end is not in these logs"
+	return background.Process == own.Process
 }
 
-func text(l Line, key string) string {
-	value, _ := l.Fields[key].(string)
-	return value
+// addTarget notes the target that a line of the flow names.
+func (s *Story) addTarget(l Line) {
+	if name := text(l, "target"); name != "" {
+		s.targets[name] = true
+	}
+	place := text(l, "address")
+	if host, _, ok := strings.Cut(place, ":"); ok {
+		s.places[place], s.hosts[host] = true, true
+	}
 }
 
-// lostAfter reports whether the process of a line stopped serving later.
-func (s *Story) lostAfter(l Line) bool {
-	for _, other := range s.lines {
-		if other.Process == l.Process && !other.Time.Before(l.Time) &&
-			slices.Contains([]string{messageStarts, "process leaves", "own target does not answer"}, other.Message) {
-			return true
-		}
-	}
-	return false
+// changedTarget returns the name of the target that a line about a change is
+// about, the last part of its key.
+func changedTarget(l Line) string {
+	key := text(l, "key")
+	return key[strings.LastIndexByte(key, '/')+1:]
 }
 
-// restartedAfter returns the process that started after a line, if one did.
-func (s *Story) restartedAfter(l Line) string {
-	for _, other := range s.lines {
-		if other.Message == messageStarts && other.Time.After(l.Time) {
-			return other.Process
-		}
-	}
-	return ""
+func text(l Line, key string) string {
+	value, _ := l.Fields[key].(string)
+	return value
 }
 
 // Detail returns the fields of a line as text, in order of names.
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -20,12 +21,17 @@
 }
 
 func explain(t *testing.T, logs ...string) *Story {
+	t.Helper()
+	return explainAt(t, time.Time{}, logs...)
+}
+
+func explainAt(t *testing.T, failedAt time.Time, logs ...string) *Story {
 	t.Helper()
 	var readers []io.Reader
 	for _, l := range logs {
 		readers = append(readers, strings.NewReader(l))
 	}
-	s, err := Explain(flow, readers)
+	s, err := Explain(flow, failedAt, readers)
 	is.New(t).NoErr(err)
 	return s
 }
@@ -36,10 +42,10 @@
 		{"a forwarded flow that no agent saw", own(1, "b", "flow forwarded", ""), "no agent received it"},
 		{"a flow that no target took", own(1, "a", "no target left for packet", `,"reset":false`), "no target took the flow"},
 		{"a placed flow", own(1, "a", "flow placed", ""), "caller, the target or the network"},
-		{"a flow whose agent stopped", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "process leaves", ""), "lost or left afterwards"},
-		{"a flow whose target fell silent", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "own target does not answer", ""), "lost or left afterwards"},
+		{"a flow whose agent stopped", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "process leaves", ""), "a left afterwards"},
+		{"a flow whose target fell silent", own(1, "a", "flow placed", "") + "\n" + line(9, "a", "own target does not answer", ""), "target did not answer afterwards"},
 		{"a flow whose balancer was killed", own(1, "b", "flow forwarded", "") + "\n" + own(1, "a", "flow placed", "") + "\n" +
-			line(900, "b", "process starts", ""), "b started again afterwards"},
+			line(900, "b", "process starts", ""), "b started again at that time"},
 		{"a flow placed twice", own(1, "a", "flow placed", "") + "\n" + own(200, "c", "flow placed", ""), "did not answer its opening packets"},
 		{"a flow without a route", own(1, "b", "flow reset", `,"reason":"no route"`), "reset by b: no route"},
 		{"a flow that no target held", own(1, "a", "no target left for packet", `,"reset":true`), "no target held it"},
@@ -52,6 +58,41 @@
 	}
 }
 
+// TestFailedRequest guards against requests whose cause stands in lines that do
+// not name their flow.
+func TestFailedRequest(t *testing.T) {
+	failedAt := time.Date(2026, 12, 4, 10, 0, 4, 0, time.UTC)
+	placed := own(1, "b", "flow forwarded", `,"address":"10.0.0.9:80","target":"t-9"`) + "\n" + own(2, "a", "flow placed", "")
+	later := func(process, message, fields string) string {
+		return fmt.Sprintf(`{"process":%q,"time":"2026-12-04T10:00:03Z","message":%q%s}`, process, message, fields)
+	}
+	for _, c := range []struct {
+		name, logs, want string
+		isCause          bool
+	}{
+		{"a flow that reached a killed balancer", later("b2", "process starts", `,"role":"balancer"`), "b2 started again", true},
+		{"a flow that reached nobody", later("a2", "process starts", `,"role":"agent"`), "reached no live balancer", false},
+		{"a stopped balancer in the way", placed + "\n" + later("b2", "process did not run", `,"role":"balancer"`), "b2 did not run for a while", true},
+		{"an agent that others miss", placed + "\n" + later("z", "agent does not answer", `,"address":"10.0.0.9"`), "did not answer z", true},
+		{"another agent that others miss", placed + "\n" + later("z", "agent does not answer", `,"address":"10.0.0.8"`), "the target or the network", false},
+		{"a target that lapsed", placed + "\n" + later("b", "target changed", `,"key":"x/t-9","state":"unlisted"`), "its target was unlisted", true},
+		{"a target that was replaced", placed + "\n" + later("b", "target changed", `,"key":"x/t-10","address":"10.0.0.9:80","state":"serving"`) + "\n" +
+			own(900, "c", "no target left for packet", `,"reset":true`), "another target took the address", true},
+		{"a reset for no known reason", own(900, "c", "no target left for packet", `,"reset":true`), "no target held it", false},
+		{"a stopped agent", placed + "\n" + later("a", "process did not run", ""), "a did not run", true},
+		{"a slow target", placed + "\n" + later("a", "suspicion of own target changed", `,"suspect":true`), "later than usual", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := explainAt(t, failedAt, c.logs)
+			if !strings.Contains(s.Conclusion(), c.want) {
+				t.Errorf("%q lacks %q", s.Conclusion(), c.want)
+			}
+			is.Equal(s.HasCause(), c.isCause)
+		})
+	}
+}
+
 func TestStory(t *testing.T) {
 	t.Run("lines of several logs are ordered by time, damaged ones are counted", func(t *testing.T) {
 		is := is.New(t)
@@ -74,7 +115,7 @@
 	f.Add([]byte(own(1, "a", "flow placed", "")))
 	f.Add([]byte("{"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		s, err := Explain(flow, []io.Reader{strings.NewReader(string(b))})
+		s, err := Explain(flow, time.Time{}, []io.Reader{strings.NewReader(string(b))})
 		if err == nil && s.Conclusion() == "" {
 			t.Fatal("no conclusion")
 		}
--- a/internal/recorder/state.go
+++ b/internal/recorder/state.go
@@ -13,7 +13,7 @@
 type State struct {
 	revision      uint64
 	isUnreachable bool
-	isStale       bool
+	isOutdated    bool
 	targets       map[uint32]stateTarget
 }
 
@@ -24,8 +24,8 @@
 }
 
 // NewState returns a state without targets.
-func NewState(revision uint64, isUnreachable, isStale bool) *State {
-	return &State{revision: revision, isUnreachable: isUnreachable, isStale: isStale, targets: make(map[uint32]stateTarget)}
+func NewState(revision uint64, isUnreachable, isOutdated bool) *State {
+	return &State{revision: revision, isUnreachable: isUnreachable, isOutdated: isOutdated, targets: make(map[uint32]stateTarget)}
 }
 
 // AddTarget adds a known target.
@@ -45,8 +45,8 @@
 	if next.isUnreachable != s.isUnreachable {
 		add(EventPlatform, "", "", describe(next.isUnreachable, "platform is unreachable", "platform is reachable"))
 	}
-	if next.isStale != s.isStale {
-		add(EventPlatform, "", "", describe(next.isStale, "platform is stale", "platform is current"))
+	if next.isOutdated != s.isOutdated {
+		add(EventPlatform, "", "", describe(next.isOutdated, "platform is stale", "platform is current"))
 	}
 	for number, t := range next.targets {
 		if t.isDown == s.targets[number].isDown {
--- /dev/null
+++ b/standin/cmd/soak/explain.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"kingcupvalve.example/kingcupvalve/internal/explainer"
+	"kingcupvalve.example/kingcupvalve/standin/soaker"
+)
+
+// explainFailures writes what the logs say of each failure into a file and
+// returns the number of those with a cause.
+func explainFailures(failures []soaker.Failure, dir string) (int, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil {
+		return 0, fmt.Errorf("list logs: %w", err)
+	}
+	page, err := os.Create(filepath.Join(dir, "failures.txt"))
+	if err != nil {
+		return 0, fmt.Errorf("write failures: %w", err)
+	}
+	defer page.Close()
+	explained := 0
+	for _, f := range failures {
+		story, err := explain(f, paths)
+		if err != nil {
+			return 0, err
+		}
+		if story.HasCause() {
+			explained++
+		}
+		if _, err := fmt.Fprintln(page, f.FailedAt.Format("15:04:05.000"), f.Caller, story.HasCause(), story.Conclusion()); err != nil {
+			return 0, fmt.Errorf("write failures: %w", err)
+		}
+	}
+	return explained, nil
+}
+
+func explain(f soaker.Failure, paths []string) (*explainer.Story, error) {
+	var logs []io.Reader
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("open log: %w", err)
+		}
+		defer file.Close()
+		logs = append(logs, file)
+	}
+	return explainer.Explain(f.Caller.String(), f.FailedAt, logs)
+}
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -45,6 +45,10 @@
 	if err != nil {
 		return false, err
 	}
+	// Logs of an earlier run have lines of flows with the same addresses.
+	if err := os.RemoveAll(dir); err != nil {
+		return false, err
+	}
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return false, err
 	}
@@ -63,6 +67,13 @@
 	line := map[string]any{
 		"seed": seed, "requests": all, "answered": answered, "calm": calm, "violations": len(report.Violations()), "dir": dir,
 	}
+	if len(report.Failures()) > 0 {
+		explained, err := explainFailures(report.Failures(), dir)
+		if err != nil {
+			return false, err
+		}
+		line["failed"], line["explained"] = len(report.Failures()), explained
+	}
 	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
 		return false, err
 	}
--- a/standin/soaker/report.go
+++ b/standin/soaker/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -16,9 +17,16 @@
 	calm       int
 	lastFault  time.Time
 	events     []string
+	failures   []Failure
 	start      time.Time
 }
 
+// Failure is a request that was not answered, or a flow that did not open.
+type Failure struct {
+	Caller   netip.AddrPort
+	FailedAt time.Time
+}
+
 func newReport() *Report { return &Report{runs: map[uint64]int{}, start: time.Now()} }
 
 // Violations returns the broken promises.
@@ -27,6 +35,9 @@
 // Events returns the faults and changes with their times.
 func (r *Report) Events() []string { return r.events }
 
+// Failures returns what was not served, in trouble too.
+func (r *Report) Failures() []Failure { return r.failures }
+
 // Requests returns the number of requests, of answered ones, and of those that
 // were sent in calm.
 func (r *Report) Requests() (all, answered, calm int) { return r.requests, r.answered, r.calm }
@@ -67,12 +78,14 @@
 	}
 }
 
-func (r *Report) finished(ok, isCalm bool) {
+func (r *Report) finished(caller netip.AddrPort, ok, isCalm bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
 	r.requests++
 	if ok {
 		r.answered++
+	} else {
+		r.failures = append(r.failures, Failure{Caller: caller, FailedAt: time.Now()})
 	}
 	if isCalm {
 		r.calm++
--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -163,7 +163,7 @@
 	r := s.world.report
 	if !f.open() {
 		isCalm := r.wasCalm(start)
-		r.finished(false, isCalm)
+		r.finished(f.source, false, isCalm)
 		if isCalm {
 			r.violate("the flow of %s to %s did not open", f.source, to)
 		}
@@ -177,7 +177,7 @@
 		number := s.number.Add(1)
 		ok, isReset := f.request(number, kind)
 		isCalm := r.wasCalm(start)
-		r.finished(ok, isCalm)
+		r.finished(f.source, ok, isCalm)
 		if !ok {
 			if isCalm {
 				r.violate("request %d on the flow of %s to %s had no answer (reset: %t)", number, f.source, to, isReset)
