Remove the padding of reset triggers and accessors without a reader

Cause: balancers padded packets of lost targets to 43 bytes because quic-go answers no smaller one with a stateless reset. Agents write these resets themselves by now (listener/reset.go), so the padding did nothing. deadcode named the accessors.

--- a/internal/balancer/forward.go
+++ b/internal/balancer/forward.go
@@ -8,13 +8,6 @@
 	"kingcupvalve.example/kingcupvalve/internal/tunneler"
 )
 
-// minResetTrigger is the size to which packets are padded that another agent
-// shall answer with a stateless reset. quic-go answers none of up to 42 bytes,
-// and a caller's smallest packet, a PING with a connection ID of 20 bytes, has
-// 41. No loop can arise from resets that are larger than their trigger (RFC
-// 9000, 10.3.3), since a reset carries no valid mark and is never padded.
-const minResetTrigger = 43
-
 // forwarder carries datagrams from one socket of a published address to the
 // agents. It belongs to one goroutine.
 type forwarder struct {
@@ -72,10 +65,6 @@
 			f.tally[result]++
 			continue
 		}
-		if result == forwardedReset {
-			batch.Pad(i, minResetTrigger)
-			packet = batch.Payload(i)
-		}
 		header.Source, header.Service, header.Flags = batch.Source(i), to.service, flags|common
 		size := header.Size()
 		if tunneler.PacketSize(to.address.Addr(), size+len(packet)) > f.balancer.options.MTU {
--- a/internal/batcher/batch.go
+++ b/internal/batcher/batch.go
@@ -92,17 +92,6 @@
 // IsTruncated reports whether a datagram did not fit its buffer.
 func (b *Batch) IsTruncated(i int) bool { return b.headers[i].message.Flags&unix.MSG_TRUNC != 0 }
 
-// Pad appends zero bytes to a datagram until it has size bytes, which must not
-// exceed the datagram size of the pool.
-func (b *Batch) Pad(i, size int) {
-	before := int(b.headers[i].size)
-	if before >= size {
-		return
-	}
-	b.headers[i].size = uint32(size)
-	clear(b.Payload(i)[before:])
-}
-
 // Extend returns a datagram with size bytes before it, which must not exceed
 // the headroom of the pool.
 func (b *Batch) Extend(i, size int) []byte {
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -89,9 +89,6 @@
 	unreadable int
 }
 
-// Flow returns the address and port of the caller.
-func (s *Story) Flow() string { return s.flow }
-
 // Lines returns the lines in order of time, those of one process in the order
 // in which they were written.
 func (s *Story) Lines() []Line { return s.lines }
