Pass new flows on when a current table has no entry of the own target

Cause: an agent whose target is not listed, or whose address is listed for another service, took new flows all the same, although its table is current only if such an entry is gone.

Change: such an agent passes new flows on while its table is current; an old table keeps none away. The case 'another service at the address' of TestTakesOpening expected true, which was the fault; it expects false now, and a target that is not listed does too. Both fail without the change.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -33,7 +33,7 @@
 	// under way can cause.
 	maxHops = 250
 	// currentFor is the age of a table up to which a search through it proves
-	// that no target holds a flow. Targets that other processes may not know yet
+	// that no target holds a flow, and up to which a missing own target is gone. Targets that other processes may not know yet
 	// get no flows, see chooser.
 	currentFor = 1500 * time.Millisecond
 )
@@ -176,7 +176,10 @@
 		return false
 	}
 	if !ok {
-		return true
+		// A current table without the own target, or with one of another service at
+		// its address, shows that the sender's table is old. An old table shows
+		// nothing.
+		return d.options.TableAge(now) >= currentFor
 	}
 	load := d.options.Tracker.Load(now)
 	if load.IsSilent {
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -82,7 +82,9 @@
 		// the balancer has.
 		{"a draining target", func(t *router.Target) { t.State = router.Draining }, 0, opening, false},
 		{"a target that is gone", func(t *router.Target) { t.State = router.Gone }, 0, opening, false},
-		{"another service at the address", func(t *router.Target) { t.Service = "bundles" }, 0, opening, true},
+		// Guards against requests at a target of another service (rule ROUTE).
+		{"another service at the address", func(t *router.Target) { t.Service = "bundles" }, 0, opening, false},
+		{"a target that is not listed", func(t *router.Target) { t.Address = netip.MustParseAddrPort("127.0.0.2:9") }, 0, opening, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -92,6 +94,13 @@
 			is.Equal(d.takesOpening(table, route, packet(900, c.packet), now), c.taken)
 		})
 	}
+	t.Run("a table that is not current keeps no flow away", func(t *testing.T) {
+		is := is.New(t)
+		d := newDeliverer(t)
+		d.options.TableAge = func(time.Time) time.Duration { return currentFor }
+		table, route := newTable(func(t *router.Target) { t.Service = "bundles" })
+		is.True(d.takesOpening(table, route, packet(900, opening), now))
+	})
 	t.Run("a leaving agent passes new flows on", func(t *testing.T) {
 		is := is.New(t)
 		d := newDeliverer(t)
