Count suspended time in the age of the table

Cause: the steady clock stands still while a machine is suspended, so a process that woke after 3 s took its table for 0.2 s old, and could reset flows for lack of a route or a target on the strength of it until the next beacon. No log line told that the process had not run.

Change: each tick compares the clock since boot with the steady clock. The difference is added to the age of the table, and 'process did not run' has both times.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -43,13 +43,8 @@
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
-const (
-	// tickInterval is the resolution of beacons, of flow expiry and of a stop.
-	tickInterval = 50 * time.Millisecond
-	// pauseLimit between two ticks shows that the process did not run. Others
-	// take it for dead about then.
-	pauseLimit = 500 * time.Millisecond
-)
+// tickInterval is the resolution of beacons, of flow expiry and of a stop.
+const tickInterval = 50 * time.Millisecond
 
 // Platform is what a process needs of the platform.
 type Platform struct {
@@ -215,17 +210,17 @@
 func (c *Conductor) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	last := time.Now()
+	pauses := newPauseMeter(time.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			now := time.Now()
-			if pause := now.Sub(last); pause > pauseLimit {
-				c.logger.Warn().Dur("duration_ms", pause).Msg("process did not run")
+			if paused, uncounted := pauses.tick(now); paused > 0 {
+				c.follower.AddAge(uncounted)
+				c.logger.Warn().Dur("duration_ms", paused).Dur("table_age_ms", c.follower.Age(now)).Msg("process did not run")
 			}
-			last = now
 			if agents := c.newAgents.Swap(nil); agents != nil {
 				c.signaller.SetAgents(*agents)
 			}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -140,6 +140,9 @@
 	return now.Sub(f.start) - time.Duration(f.confirmedAt.Load())
 }
 
+// AddAge makes the table older by a time that the clock did not count.
+func (f *Follower) AddAge(d time.Duration) { f.confirmedAt.Add(-int64(d)) }
+
 // Changes returns the changes after a revision for a peer.
 func (f *Follower) Changes(ctx context.Context, after uint64) (Batch, bool) {
 	r := request{after: after, reply: make(chan Batch, 1)}
@@ -210,8 +213,9 @@
 }
 
 func (f *Follower) confirm(at time.Time) {
-	if ns := int64(at.Sub(f.start)); ns > f.confirmedAt.Load() {
-		f.confirmedAt.Store(ns)
+	ns := int64(at.Sub(f.start))
+	for before := f.confirmedAt.Load(); ns > before && !f.confirmedAt.CompareAndSwap(before, ns); {
+		before = f.confirmedAt.Load()
 	}
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -213,6 +213,22 @@
 			})
 		})
 	}
+	// Guards against resets by a process that wakes with an old table.
+	t.Run("a table is as old as the clock and what the clock did not count", func(t *testing.T) {
+		s := newStore(1)
+		setup(t, s, func(o *Options) {
+			o.IsReader = func(*router.Table) bool { return false }
+			o.Peers = func() []Peer { return nil }
+		}, func(is *is.I, f *Follower) {
+			<-f.Ready()
+			s.version.Store(2)
+			f.AddAge(3 * time.Second)
+			is.True(f.Age(time.Now()) >= 3*time.Second)
+			time.Sleep(500 * time.Millisecond) // it reads by itself, after the pause that follows a batch
+			is.Equal(f.Table().Version(), uint64(2))
+			is.True(f.Age(time.Now()) < time.Second)
+		})
+	})
 	t.Run("failed calls are at least 50 ms apart", func(t *testing.T) {
 		s := newStore(1)
 		s.isDown.Store(true)
