Spread the first reads of the platform for packet flows

Cause: start_spread was accepted beside packets and ignored, so a start of the whole fleet at the target size would be above the rate of the platform for 150 s (docs/CAPACITY.md).

Change: the first read waits a random part of the spread, or until a peer has given a table. Such a process reads only if it has to: the first table decides that at once, no longer the next tick.

TestFollower has both cases; without the change the first fails.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -113,7 +113,7 @@
 	c.chooser = chooser.NewChooser(c.signaller.IsDown, c.report)
 	c.follower = follower.NewFollower(follower.Options{
 		Source: platform.Source, Pull: c.pull, Peers: c.peers, Seeds: c.seeds, IsReader: c.isReader,
-		Deadline: settings.Packets().ChangeDeadline(), Logger: logger,
+		Deadline: settings.Packets().ChangeDeadline(), StartSpread: settings.StartSpread(), Logger: logger,
 	})
 	c.follower.Subscribe(c.takeTable)
 	c.messenger.Handle(messenger.LaneControl, c.follower.Serve)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -45,7 +45,9 @@
 	IsReader func(t *router.Table) bool
 	// Deadline is the time in which a change must be in force.
 	Deadline time.Duration
-	Logger   zerolog.Logger
+	// StartSpread is the time over which the first reads of a fleet are spread.
+	StartSpread time.Duration
+	Logger      zerolog.Logger
 }
 
 // Follower holds the table. Table, Age and Changes are safe for concurrent
@@ -229,6 +231,7 @@
 		select {
 		case <-f.ready:
 		default:
+			f.wanted.Store(f.needsReads(now))
 			close(f.ready)
 		}
 	}
@@ -240,7 +243,7 @@
 	}
 	f.lastTick = now
 	f.consultPeers(ctx, now)
-	reads := !f.registrar.HasConfig() || f.IsStale(now) || f.options.IsReader(f.Table())
+	reads := f.needsReads(now)
 	if reads != f.isReading {
 		f.isReading = reads
 		f.options.Logger.Info().Bool("reads", reads).Dur("table_age_ms", f.Age(now)).Msg("reading of the platform changed")
@@ -254,6 +257,11 @@
 	}
 }
 
+// needsReads reports whether this process has to read the platform itself.
+func (f *Follower) needsReads(now time.Time) bool {
+	return !f.registrar.HasConfig() || f.IsStale(now) || f.options.IsReader(f.Table())
+}
+
 // consultPeers takes over what beacons say of peers' tables and fetches a
 // newer one.
 func (f *Follower) consultPeers(ctx context.Context, now time.Time) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -213,6 +213,33 @@
 			})
 		})
 	}
+	// Guards against a platform that a starting fleet overloads.
+	t.Run("with a spread, a peer's table comes before the first read", func(t *testing.T) {
+		s := newStore(1)
+		setup(t, s, func(o *Options) {
+			o.StartSpread = time.Hour
+			o.IsReader = func(*router.Table) bool { return false }
+			o.Peers = func() []Peer { return []Peer{{Revision: 1, ConfirmedAt: time.Now()}} }
+			o.Seeds = func() []netip.Addr { return []netip.Addr{netip.MustParseAddr("10.0.0.2")} }
+			o.Pull = func(context.Context, netip.Addr, uint64) (Batch, error) {
+				b := s.batch()
+				b.ConfirmedAt = time.Now()
+				return b, nil
+			}
+		}, func(is *is.I, f *Follower) {
+			time.Sleep(time.Second)
+			is.Equal(f.Table().Version(), uint64(1))
+			time.Sleep(time.Minute)
+			is.Equal(s.calls.Load(), int64(0))
+		})
+	})
+	t.Run("with a spread and no peer, the first read is within it", func(t *testing.T) {
+		s := newStore(1)
+		setup(t, s, func(o *Options) { o.StartSpread = 30 * time.Second }, func(is *is.I, f *Follower) {
+			time.Sleep(30*time.Second + 100*time.Millisecond)
+			is.Equal(f.Table().Version(), uint64(1))
+		})
+	})
 	// Guards against resets by a process that wakes with an old table.
 	t.Run("a table is as old as the clock and what the clock did not count", func(t *testing.T) {
 		s := newStore(1)
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -19,6 +19,7 @@
 
 // read watches the platform whenever the control state asks for it.
 func (f *Follower) read(ctx context.Context) {
+	f.awaitStart(ctx)
 	pause := firstPause
 	whole := true
 	for {
@@ -58,6 +59,21 @@
 	}
 }
 
+// awaitStart spreads the first reads of a fleet that starts at once. It ends
+// early when a peer has given a table.
+func (f *Follower) awaitStart(ctx context.Context) {
+	if f.options.StartSpread <= 0 {
+		return
+	}
+	timer := time.NewTimer(rand.N(f.options.StartSpread))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.ready:
+	case <-timer.C:
+	}
+}
+
 func (f *Follower) readOnce(ctx context.Context, whole bool) (Batch, error) {
 	sent := time.Now()
 	if whole {
