Refuse readiness while no agent answers a balancer

Change: a process whose agents are all down says so on its readiness check and in a log line.

The new case of TestConductor fails without it.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -70,11 +70,13 @@
 	steerer     *steerer.Steerer
 	deliverer   *deliverer.Deliverer
 	isLeaving   atomic.Bool
-	self        atomic.Uint32
-	signals     chan os.Signal
-	drain       chan struct{}
-	presenter   *presenter.Presenter
-	operators   *operators
+	// isIsolated is set while no agent answers: another balancer may reach them.
+	isIsolated atomic.Bool
+	self       atomic.Uint32
+	signals    chan os.Signal
+	drain      chan struct{}
+	presenter  *presenter.Presenter
+	operators  *operators
 	// newAgents has the agents of a new table until tick, which owns the
 	// signaller's agents, takes them over.
 	newAgents atomic.Pointer[map[uint32]netip.Addr]
@@ -225,6 +227,7 @@
 				c.signaller.SetAgents(*agents)
 			}
 			c.signaller.Tick(now)
+			c.noteIsolation()
 			if c.deliverer != nil {
 				c.tracker.Tick(now, c.follower.Table().IdleTimeout())
 				c.noteTarget(now)
@@ -233,6 +236,14 @@
 	}
 }
 
+// noteIsolation follows whether any agent answers.
+func (c *Conductor) noteIsolation() {
+	if isIsolated := c.signaller.IsIsolated(); isIsolated != c.isIsolated.Load() {
+		c.isIsolated.Store(isIsolated)
+		c.logger.Warn().Bool("isolated", isIsolated).Msg("reach of agents changed")
+	}
+}
+
 // noteTarget writes a line when the own target stops or begins to answer.
 func (c *Conductor) noteTarget(now time.Time) {
 	load := c.tracker.Load(now)
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -107,4 +107,18 @@
 		}
 		assertHeld(t, c, held)
 	})
+	// Guards against packets that are lost at a balancer which reaches no agent.
+	t.Run("a balancer that no agent answers is not ready", func(t *testing.T) {
+		f := newFleet(t)
+		f.setTarget(firstTarget, router.Serving)
+		f.serveTarget(firstTarget)
+		f.start("balancer", firstBalancer)
+		agent := f.start("agent", firstTarget)
+		f.awaitReady(firstTarget)
+		f.awaitReady(firstBalancer)
+		agent.stop()
+		await(t, "refused readiness", func() bool { return !f.isReady(firstBalancer) })
+		f.start("agent", firstTarget)
+		f.awaitReady(firstBalancer)
+	})
 }
--- a/internal/conductor/fleet_test.go
+++ b/internal/conductor/fleet_test.go
@@ -257,14 +257,16 @@
 // awaitReady waits until a process is ready.
 func (f *fleet) awaitReady(n byte) {
 	f.t.Helper()
-	await(f.t, fmt.Sprintf("host %d ready", n), func() bool {
-		r, err := http.Get("http://" + netip.AddrPortFrom(host(n), f.packets).String() + "/ready")
-		if err != nil {
-			return false
-		}
-		_ = r.Body.Close()
-		return r.StatusCode == http.StatusOK
-	})
+	await(f.t, fmt.Sprintf("host %d ready", n), func() bool { return f.isReady(n) })
+}
+
+func (f *fleet) isReady(n byte) bool {
+	r, err := http.Get("http://" + netip.AddrPortFrom(host(n), f.packets).String() + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
 }
 
 func await(t *testing.T, what string, isTrue func() bool) {
--- a/internal/conductor/http.go
+++ b/internal/conductor/http.go
@@ -43,7 +43,7 @@
 }
 
 func (c *Conductor) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if c.isLeaving.Load() || !c.follower.IsReady() {
+	if c.isLeaving.Load() || c.isIsolated.Load() || !c.follower.IsReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -81,7 +81,7 @@
 }
 
 // Signaller holds the socket and the peers. Peer, IsDown and SendHint are safe
-// for concurrent use; SetAgents and Tick belong to one goroutine.
+// for concurrent use; SetAgents, Tick and IsIsolated belong to one goroutine.
 type Signaller struct {
 	options  Options
 	conn     *net.UDPConn
@@ -129,6 +129,17 @@
 	s.detector.SetTargets(numbers)
 }
 
+// IsIsolated reports whether no agent answers, although there are some. It
+// belongs to the goroutine of Tick.
+func (s *Signaller) IsIsolated() bool {
+	for _, n := range s.order {
+		if !s.detector.IsDown(n) {
+			return false
+		}
+	}
+	return len(s.order) > 0
+}
+
 // IsDown reports whether the agent of a target does not answer.
 func (s *Signaller) IsDown(target uint32) bool { return s.detector.IsDown(target) }
 
