Start a search anew when a balancer passed over a listed target

Cause: a balancer that does not reach an agent passes over its target in the first pass of a search. The agents after it reach that target, but visit in the second pass only what is down for them, so the search ended without it and the live flow was reset.

Change: such a balancer hands the packet to the first agent that it reaches with a search that has not begun, so that the agent's view decides.

--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -167,7 +167,26 @@
 		}
 		s.hints.Remove(key)
 	}
-	return table.Search(route, key, p.Mark, s.options.Chooser.AcceptOpen())
+	return s.search(table, route, key, p.Mark)
+}
+
+// search begins the search for the target of an open flow. When it passes over
+// a listed target whose agent does not answer this process, the next process
+// starts anew: it may reach that agent, and a search that left out the target
+// that holds the flow would end in a reset.
+func (s *Steerer) search(table *router.Table, route *router.Route, key uint64, mark framer.Mark) (router.Hop, bool) {
+	hop, ok := table.Search(route, key, mark, s.options.Chooser.AcceptOpen())
+	if !ok {
+		return hop, false
+	}
+	if first, ok := table.Search(route, key, mark, isListed); ok && first.Number != hop.Number {
+		hop.Mark.Progress = framer.StartProgress
+	}
+	return hop, true
+}
+
+func isListed(_ uint32, t *router.Target, secondPass bool) bool {
+	return !secondPass && t.State != router.Gone
 }
 
 // placeOpening chooses the target of a new flow. A copy of an opening packet
