Visit every listed target in the second pass after one was passed over

Processes that disagree on which agents answer left out the target that holds a flow, and the search ended in a reset of a live flow.

Change: the progress of a search has a second bit, set by a process that passes over a listed target in its first pass; the second pass then visits every listed target. Balancers no longer start a search anew, which the bit makes needless; the case of TestPlace that guarded it now walks the search on and asks that the target is visited, which is as strict.

TestProgress and cases of TestSearch and TestAcceptOpen are new.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -9,7 +9,10 @@
 //	hop, ok = table.Search(route, key, mark, c.AcceptOpen())
 package chooser
 
-import "kingcupvalve.example/kingcupvalve/internal/router"
+import (
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
 
 // queueFactor times the slots is the load up to which a target gets the first
 // packet of a new flow although no target has a free slot. With one request
@@ -56,29 +59,34 @@
 // the second pass too, because a search through an older table would find
 // that no target holds its flows.
 func (c *Chooser) AcceptOpening(service string) router.Accept {
-	return func(number uint32, target *router.Target, secondPass bool) bool {
+	return func(number uint32, target *router.Target, pass framer.Pass) bool {
 		if target.Service != service || target.State != router.Serving && target.State != router.Lapsed || c.isDown(number) {
 			return false
 		}
 		r, known := c.report(number)
 		if !known {
 			// An agent that was never heard of may be just starting.
-			return target.State == router.Serving && target.IsFresh == secondPass
+			return target.State == router.Serving && target.IsFresh == pass.IsSecond()
 		}
 		if r.IsLeaving || r.IsSilent {
 			return false
 		}
-		return secondPass || r.HasFreeSlot() && !target.IsFresh
+		return pass.IsSecond() || r.HasFreeSlot() && !target.IsFresh
 	}
 }
 
 // AcceptOpen returns the condition for a packet of an open flow: first the
 // listed targets whose agents answer, then listed ones whose agents do not
-// answer, which may hold the flow all the same, and others whose agents do.
+// answer, which may hold the flow all the same, and others whose agents do. A
+// full pass visits every listed target, since the process that passed over one
+// may be the only one that its agent does not answer.
 func (c *Chooser) AcceptOpen() router.Accept {
-	return func(number uint32, target *router.Target, secondPass bool) bool {
+	return func(number uint32, target *router.Target, pass framer.Pass) bool {
 		isListed, isDown := target.State != router.Gone, c.isDown(number)
-		if secondPass {
+		switch {
+		case pass == framer.FullPass:
+			return isListed || !isDown
+		case pass.IsSecond():
 			return isListed == isDown
 		}
 		return isListed && !isDown
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -157,7 +157,7 @@
 	load := d.options.Tracker.Load(now)
 	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Uint32("copy", p.Acknowledged).
 		Int("running", load.Running).Int("flows", load.Flows).Uint8("hops", p.Mark.Hops).
-		Bool("second_pass", p.Mark.IsSecondPass()).Uint64("version", table.Version()).
+		Bool("second_pass", p.Mark.Pass().IsSecond()).Uint64("version", table.Version()).
 		Dur("table_age_ms", d.options.TableAge(now)).Msg("flow placed")
 }
 
@@ -186,7 +186,7 @@
 		return d.options.Tracker.TryProbe(now)
 	}
 	report := chooser.Report{Running: load.Running, Slots: target.Slots, IsSuspect: load.IsSuspect}
-	if p.Mark.IsSecondPass() {
+	if p.Mark.Pass().IsSecond() {
 		return report.HasRoom(p.Acknowledged > 0)
 	}
 	return report.HasFreeSlot()
@@ -236,7 +236,7 @@
 		accept = d.options.Chooser.AcceptOpening(route.ServiceOf(key))
 	}
 	self, _, _ := d.self(table)
-	others := func(n uint32, t *router.Target, second bool) bool { return n != self && accept(n, t, second) }
+	others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != self && accept(n, t, pass) }
 	hop, ok := table.Search(route, key, p.Mark, others)
 	if !ok || p.Mark.Hops >= maxHops {
 		d.giveUp(table, p, datagram, writer, now)
--- a/internal/framer/framer.go
+++ b/internal/framer/framer.go
@@ -73,23 +73,3 @@
 	binary.BigEndian.PutUint16(b[10:], published.Port())
 	return xxhash.Sum64(b[:])
 }
-
-// StartProgress begins a search at the first target of a flow.
-const StartProgress = ^uint32(0)
-
-// NewProgress returns the progress after a target of a rank; the second pass
-// of a search accepts what the first one left out.
-func NewProgress(rank uint32, secondPass bool) uint32 {
-	p := rank << 1
-	if secondPass {
-		p |= 1
-	}
-	return p
-}
-
-// Rank returns the rank below which the search continues.
-func (m Mark) Rank() uint32 { return m.Progress >> 1 }
-
-// IsSecondPass reports whether the search is in its second pass. A search that
-// has not begun is in its first one.
-func (m Mark) IsSecondPass() bool { return m.Progress != StartProgress && m.Progress&1 == 1 }
--- a/internal/router/doc.go
+++ b/internal/router/doc.go
@@ -10,11 +10,12 @@
 //
 // A search has two passes. The first one visits the targets that a process
 // would choose: live ones, and for opening packets those with a free slot. The
-// second pass visits the rest.
+// second pass visits the rest, or all listed targets if a process has passed
+// over one that another may reach.
 //
 // # Usage
 //
 //	table := router.NewTable(config, targets, revision)
 //	route, ok := table.Route(packet.Destination)
-//	hop, ok := table.Search(route, key, mark, opens, accept)
+//	hop, ok := table.Search(route, key, mark, accept)
 package router
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -93,25 +93,37 @@
 }
 
 // Accept decides whether a pass of a search visits a target.
-type Accept func(number uint32, target *Target, secondPass bool) bool
+type Accept func(number uint32, target *Target, pass framer.Pass) bool
 
 // Search returns the next target for a packet of a flow, or false when the
 // search has come to its end.
 func (t *Table) Search(route *Route, key uint64, mark framer.Mark, accept Accept) (Hop, bool) {
-	rank, second := mark.Rank(), mark.IsSecondPass()
+	rank, pass := mark.Rank(), mark.Pass()
 	for {
-		if hop, ok := t.searchPass(route, key, rank, second, accept); ok {
-			hop.Mark.Via, hop.Mark.Hops = mark.Via, mark.Hops
+		hop, highest, ok := t.searchPass(route, key, rank, func(n uint32, target *Target) bool { return accept(n, target, pass) })
+		if !pass.IsSecond() && t.passesOver(route, key, rank, highest) {
+			pass = pass.Partial()
+		}
+		if ok {
+			hop.Mark = framer.Mark{Progress: framer.NewProgress(highest, pass), Via: mark.Via, Hops: mark.Hops}
 			return hop, true
 		}
-		if second {
+		if pass.IsSecond() {
 			return Hop{}, false
 		}
-		rank, second = selector.StartRank, true
+		rank, pass = selector.StartRank, pass.Next()
 	}
 }
 
-func (t *Table) searchPass(route *Route, key uint64, below uint32, second bool, accept Accept) (Hop, bool) {
+// passesOver reports whether a listed target lies between two ranks.
+func (t *Table) passesOver(route *Route, key uint64, below, above uint32) bool {
+	_, highest, ok := t.searchPass(route, key, below, func(_ uint32, target *Target) bool { return target.State != Gone })
+	return ok && highest > above
+}
+
+// searchPass returns the target with the highest rank below a given one, and
+// its rank.
+func (t *Table) searchPass(route *Route, key uint64, below uint32, accept func(n uint32, target *Target) bool) (Hop, uint32, bool) {
 	var best Hop
 	found, highest := false, uint32(0)
 	for _, s := range route.Shares {
@@ -119,13 +131,12 @@
 		if order == nil {
 			continue
 		}
-		number, rank, ok := order.Next(key, below, func(n uint32) bool { return accept(n, t.targets[n], second) })
+		number, rank, ok := order.Next(key, below, func(n uint32) bool { return accept(n, t.targets[n]) })
 		if ok && (!found || rank > highest) {
 			best, found, highest = Hop{Number: number, Target: t.targets[number]}, true, rank
 		}
 	}
-	best.Mark.Progress = framer.NewProgress(highest, second)
-	return best, found
+	return best, highest, found
 }
 
 // ServiceOf returns the service that gets a new flow of a route. A change of
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -155,7 +155,7 @@
 			s.hints.Add(key, hop.Number)
 			s.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
 				Str("route", route.Name).Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.Acknowledged).
-				Bool("second_pass", hop.Mark.IsSecondPass()).Uint64("version", table.Version()).
+				Bool("second_pass", hop.Mark.Pass().IsSecond()).Uint64("version", table.Version()).
 				Dur("table_age_ms", s.options.TableAge(now)).Msg("flow forwarded")
 		}
 		return hop, ok
@@ -167,26 +167,7 @@
 		}
 		s.hints.Remove(key)
 	}
-	return s.search(table, route, key, p.Mark)
-}
-
-// search begins the search for the target of an open flow. When it passes over
-// a listed target whose agent does not answer this process, the next process
-// starts anew: it may reach that agent, and a search that left out the target
-// that holds the flow would end in a reset.
-func (s *Steerer) search(table *router.Table, route *router.Route, key uint64, mark framer.Mark) (router.Hop, bool) {
-	hop, ok := table.Search(route, key, mark, s.options.Chooser.AcceptOpen())
-	if !ok {
-		return hop, false
-	}
-	if first, ok := table.Search(route, key, mark, isListed); ok && first.Number != hop.Number {
-		hop.Mark.Progress = framer.StartProgress
-	}
-	return hop, true
-}
-
-func isListed(_ uint32, t *router.Target, secondPass bool) bool {
-	return !secondPass && t.State != router.Gone
+	return table.Search(route, key, p.Mark, s.options.Chooser.AcceptOpen())
 }
 
 // placeOpening chooses the target of a new flow. A copy of an opening packet
@@ -195,7 +176,7 @@
 func (s *Steerer) placeOpening(table *router.Table, route *router.Route, key uint64, p framer.Packet) (router.Hop, bool) {
 	accept := s.options.Chooser.AcceptOpening(route.ServiceOf(key))
 	if before, ok := s.hints.Get(key); ok && p.Acknowledged > 0 {
-		others := func(n uint32, t *router.Target, second bool) bool { return n != before && accept(n, t, second) }
+		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != before && accept(n, t, pass) }
 		if hop, ok := table.Search(route, key, p.Mark, others); ok {
 			return hop, true
 		}
