Tell resets that follow a failed opening from resets that cause a failure

Change: a reset of a flow that no line places is explained by what kept it from opening. Two cases of TestFailedRequest fail without it.

--- a/internal/explainer/conclusion.go
+++ b/internal/explainer/conclusion.go
@@ -22,8 +22,10 @@
 func (s *Story) conclude() (conclusion string, isCause bool) {
 	counts := map[string]int{}
 	var placed, reset Line
+	isRefused := false
 	for _, l := range s.lines {
 		counts[l.Message]++
+		isRefused = isRefused || l.Fields["opens"] == true && (l.Message == messageNoneLeft || l.Message == messageNoTarget)
 		switch l.Message {
 		case messagePlaced:
 			placed = l
@@ -38,6 +40,11 @@
 		return describe("no process logged the flow", f.any(), "its packets reached no live balancer, or its lines were left out")
 	case text(reset, "reason") != "":
 		return "the flow was reset by " + reset.Process + ": " + text(reset, "reason"), true
+	case counts[messagePlaced] == 0 && isRefused:
+		return "no target took the flow: all were full, draining or did not answer", true
+	case counts[messagePlaced] == 0 && reset.Fields["reset"] == true:
+		// A caller that has given up ends a flow that never opened.
+		return describe("the flow was reset by "+reset.Process+" and no line places it", f.any(), "no target held it")
 	case reset.Fields["reset"] == true:
 		return describe("the flow was reset by "+reset.Process, f.ofReset(), "no target held it any more")
 	case counts[messagePlaced] > 1 && f.any() == "":
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -78,6 +78,12 @@
 		{"a target that lapsed", placed + "\n" + later("b", "target changed", `,"key":"x/t-9","state":"unlisted"`), "its target was unlisted", true},
 		{"a target that was replaced", placed + "\n" + later("b", "target changed", `,"key":"x/t-10","address":"10.0.0.9:80","state":"serving"`) + "\n" +
 			own(900, "c", "no target left for packet", `,"reset":true`), "another target took the address", true},
+		// Guards against a reset that is taken for the cause, although it answers
+		// the end of a flow that never opened (soak, seeds 515 and 508).
+		{"a flow that no target took, reset when its caller gave up", own(100, "a", "no target left for packet", `,"opens":true,"reset":false`) + "\n" +
+			own(900, "c", "no target left for packet", `,"opens":false,"reset":true`), "no target took the flow", true},
+		{"a flow that reached no balancer, reset when its caller gave up", own(900, "c", "no target left for packet", `,"opens":false,"reset":true`) + "\n" +
+			later("b2", "process starts", `,"role":"balancer"`), "b2 started again", true},
 		{"a reset for no known reason", own(900, "c", "no target left for packet", `,"reset":true`), "no target held it", false},
 		{"a stopped agent", placed + "\n" + later("a", "process did not run", ""), "a did not run", true},
 		{"a slow target", placed + "\n" + later("a", "suspicion of own target changed", `,"suspect":true`), "later than usual", true},
