Walk the order of targets once for each pass of a search

Cause: since every first pass walked the order a second time to see whether it had passed over a listed target, on the path of every packet without a hint. Beside it, two copies of the age up to which a table proves what it lacks, and two encoders of signals, one of which dropped its error without a line.

Change: the walk tells accept the rank of each target above the result, so one walk finds both. router.CurrentFor takes the place of both constants, and one encoder logs the error. Behaviour is the same; tests keep their assertions.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -28,15 +28,9 @@
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
 
-const (
-	// maxHops ends a packet that travels in a loop, which tables that change
-	// under way can cause.
-	maxHops = 250
-	// currentFor is the age of a table up to which a search through it proves
-	// that no target holds a flow, and up to which a missing own target is gone. Targets that other processes may not know yet
-	// get no flows, see chooser.
-	currentFor = 1500 * time.Millisecond
-)
+// maxHops ends a packet that travels in a loop, which tables that change under
+// way can cause.
+const maxHops = 250
 
 var (
 	delivered  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
@@ -179,7 +173,7 @@
 		// A current table without the own target, or with one of another service at
 		// its address, shows that the sender's table is old. An old table shows
 		// nothing.
-		return d.options.TableAge(now) >= currentFor
+		return d.options.TableAge(now) >= router.CurrentFor
 	}
 	load := d.options.Tracker.Load(now)
 	if load.IsSilent {
@@ -253,7 +247,7 @@
 func (d *Deliverer) giveUp(table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
 	exhausted.Inc()
 	age := d.options.TableAge(now)
-	isOrphan := !p.Opens && !p.Resets && p.Mark.Hops < maxHops && age < currentFor
+	isOrphan := !p.Opens && !p.Resets && p.Mark.Hops < maxHops && age < router.CurrentFor
 	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.Opens).
 		Bool("reset", isOrphan).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age_ms", age).
 		Msg("no target left for packet")
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -99,7 +99,7 @@
 	t.Run("a table that is not current keeps no flow away", func(t *testing.T) {
 		is := is.New(t)
 		d := newDeliverer(t)
-		d.options.TableAge = func(time.Time) time.Duration { return currentFor }
+		d.options.TableAge = func(time.Time) time.Duration { return router.CurrentFor }
 		table, route := newTable(func(t *router.Target) { t.Service = "bundles" })
 		is.True(d.takesOpening(table, route, packet(900, opening), now))
 	})
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -14,6 +14,12 @@
 // targetWeight is the weight of every target in the order, which ignores it.
 const targetWeight = 1
 
+// CurrentFor is the age of a table up to which it proves what it lacks: that an
+// address is not published, that a target is gone, and, after a whole search,
+// that no target holds a flow. Targets that other processes may not know yet
+// get no flows, see chooser.
+const CurrentFor = 1500 * time.Millisecond
+
 // Table is an immutable routing table. It is safe for concurrent use.
 type Table struct {
 	version  uint64
@@ -100,13 +106,13 @@
 func (t *Table) Search(route *Route, key uint64, mark framer.Mark, accept Accept) (Hop, bool) {
 	rank, pass := mark.Rank(), mark.Pass()
 	for {
-		hop, highest, ok := t.searchPass(route, key, rank, func(n uint32, target *Target) bool { return accept(n, target, pass) })
-		if !pass.IsSecond() && t.passesOver(route, key, rank, highest) {
+		found, ok := t.searchPass(route, key, rank, pass, accept)
+		if !pass.IsSecond() && found.passedOver > found.rank {
 			pass = pass.Partial()
 		}
 		if ok {
-			hop.Mark = framer.Mark{Progress: framer.NewProgress(highest, pass), Via: mark.Via, Hops: mark.Hops}
-			return hop, true
+			found.hop.Mark = framer.Mark{Progress: framer.NewProgress(found.rank, pass), Via: mark.Via, Hops: mark.Hops}
+			return found.hop, true
 		}
 		if pass.IsSecond() {
 			return Hop{}, false
@@ -115,28 +121,37 @@
 	}
 }
 
-// passesOver reports whether a listed target lies between two ranks.
-func (t *Table) passesOver(route *Route, key uint64, below, above uint32) bool {
-	_, highest, ok := t.searchPass(route, key, below, func(_ uint32, target *Target) bool { return target.State != Gone })
-	return ok && highest > above
+// found is the result of one pass below a rank.
+type found struct {
+	hop  Hop
+	rank uint32
+	// passedOver is the highest rank of a listed target that was not accepted.
+	passedOver uint32
 }
 
-// searchPass returns the target with the highest rank below a given one, and
-// its rank.
-func (t *Table) searchPass(route *Route, key uint64, below uint32, accept func(n uint32, target *Target) bool) (Hop, uint32, bool) {
-	var best Hop
-	found, highest := false, uint32(0)
+// searchPass returns the accepted target with the highest rank below a given
+// one, if there is any.
+func (t *Table) searchPass(route *Route, key uint64, below uint32, pass framer.Pass, accept Accept) (found, bool) {
+	var best found
+	isFound := false
 	for _, s := range route.Shares {
 		order := t.orders[s.Service]
 		if order == nil {
 			continue
 		}
-		number, rank, ok := order.Next(key, below, func(n uint32) bool { return accept(n, t.targets[n]) })
-		if ok && (!found || rank > highest) {
-			best, found, highest = Hop{Number: number, Target: t.targets[number]}, true, rank
+		number, rank, ok := order.Next(key, below, func(n, rank uint32) bool {
+			target := t.targets[n]
+			isAccepted := accept(n, target, pass)
+			if !isAccepted && target.State != Gone {
+				best.passedOver = max(best.passedOver, rank)
+			}
+			return isAccepted
+		})
+		if ok && (!isFound || rank > best.rank) {
+			best.hop, best.rank, isFound = Hop{Number: number, Target: t.targets[number]}, rank, true
 		}
 	}
-	return best, highest, found
+	return best, isFound
 }
 
 // ServiceOf returns the service that gets a new flow of a route. A change of
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -235,9 +235,14 @@
 func (s *Signaller) encodeBeacon(now time.Time, answerWanted bool) []byte {
 	beacon := s.options.Describe(now)
 	beacon.AnswerWanted = answerWanted
-	b, err := proto.Marshal(&wirepb.Signal{Body: &wirepb.Signal_Beacon{Beacon: beacon}})
+	return s.encode(&wirepb.Signal{Body: &wirepb.Signal_Beacon{Beacon: beacon}})
+}
+
+// encode returns nil, which is not sent, for a signal that can't be encoded.
+func (s *Signaller) encode(signal *wirepb.Signal) []byte {
+	b, err := proto.Marshal(signal)
 	if err != nil {
-		s.options.Logger.Error().Err(err).Msg("beacon not encoded")
+		s.options.Logger.Error().Err(err).Msg("signal not encoded")
 		return nil
 	}
 	return b
@@ -245,15 +250,15 @@
 
 // SendHint tells a process which target holds a flow.
 func (s *Signaller) SendHint(to netip.Addr, flow uint64, target uint32) {
-	hint := &wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: flow, Target: target}}}
-	if b, err := proto.Marshal(hint); err == nil {
-		s.send(b, to)
-	}
+	s.send(s.encode(&wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: flow, Target: target}}}), to)
 }
 
 // send writes one datagram. Losing it costs an interval or a search, and an
 // unreachable process shows in the missing answers.
 func (s *Signaller) send(b []byte, to netip.Addr) {
+	if b == nil {
+		return
+	}
 	if _, err := s.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(to, s.options.Address.Port())); err != nil {
 		s.options.Logger.Debug().Err(err).Stringer("address", to).Msg("signal not sent")
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -29,13 +29,8 @@
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
-const (
-	// maxHints bounds the remembered flows; each takes about 100 bytes.
-	maxHints = 65_536
-	// currentFor is the age of a table up to which it is taken as proof that an
-	// address is not published.
-	currentFor = 1500 * time.Millisecond
-)
+// maxHints bounds the remembered flows; each takes about 100 bytes.
+const maxHints = 65_536
 
 var (
 	forwarded  = metrics.GetOrCreateCounter("kingcupvalve_steerer_packets_forwarded_total")
@@ -124,7 +119,7 @@
 	route, ok := table.Route(p.Destination)
 	if !ok {
 		unrouted.Inc()
-		if age := s.options.TableAge(now); age < currentFor && !p.Resets {
+		if age := s.options.TableAge(now); age < router.CurrentFor && !p.Resets {
 			s.reset(p, "no route", table, age, writer)
 		}
 		return
--- a/selector/order_test.go
+++ b/selector/order_test.go
@@ -57,10 +57,10 @@
 	t.Run("refused targets are left out", func(t *testing.T) {
 		is := is.New(t)
 		table := newUnweighted([]uint32{1, 2})
-		target, _, ok := table.Next(7, StartRank, func(n uint32) bool { return n == 2 })
+		target, _, ok := table.Next(7, StartRank, func(n, _ uint32) bool { return n == 2 })
 		is.True(ok)
 		is.Equal(target, uint32(2))
-		_, _, ok = table.Next(7, StartRank, func(uint32) bool { return false })
+		_, _, ok = table.Next(7, StartRank, func(uint32, uint32) bool { return false })
 		is.True(!ok)
 	})
 }
