Build the operator API in one place for both ways of serving

Cause: conductor repeated what supervisor did: load the TLS files, build the server, bind the address, and keep server and listener together. Found while reading the change again.

Change: operator.Endpoint does it for both. Behaviour is the same.

TestOperators, the tests of package operator and make demo passed.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -33,6 +33,7 @@
 	"kingcupvalve.example/kingcupvalve/internal/follower"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/messenger"
+	"kingcupvalve.example/kingcupvalve/internal/operator"
 	"kingcupvalve.example/kingcupvalve/internal/parser"
 	"kingcupvalve.example/kingcupvalve/internal/presenter"
 	"kingcupvalve.example/kingcupvalve/internal/recorder"
@@ -76,7 +77,7 @@
 	signals    chan os.Signal
 	drain      chan struct{}
 	presenter  *presenter.Presenter
-	operators  *operators
+	operator   *operator.Endpoint
 	// newAgents has the agents of a new table until tick, which owns the
 	// signaller's agents, takes them over.
 	newAgents atomic.Pointer[map[uint32]netip.Addr]
@@ -120,7 +121,7 @@
 	c.follower.Subscribe(c.takeTable)
 	c.messenger.Handle(messenger.LaneControl, c.follower.Serve)
 	c.buildPresenter()
-	if c.operators, err = c.newOperators(ctx); err != nil {
+	if err = c.buildOperator(ctx); err != nil {
 		return nil, merry.Prepend(err, "start process")
 	}
 	if settings.Role() == cataloger.RoleBalancer {
@@ -175,7 +176,9 @@
 		return nil
 	})
 	group.Go(func() error { return c.serveHTTP(ctx) })
-	group.Go(func() error { return c.operators.serve(ctx) })
+	if c.operator != nil {
+		group.Go(func() error { return c.operator.Serve(ctx) })
+	}
 	group.Go(func() error {
 		c.presenter.Run(ctx)
 		return nil
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -19,7 +19,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -73,8 +72,7 @@
 	messenger   *messenger.Messenger
 	watcher     *watcher.Watcher
 	recorder    *recorder.Recorder
-	operator    *operator.Server
-	listener    net.Listener
+	operator    *operator.Endpoint
 	state       atomic.Int32
 	drain       chan struct{}
 	// view gives the role's part of the operator API once the role runs.
@@ -153,21 +151,11 @@
 	return err
 }
 
-func (s *Supervisor) buildOperator() error {
-	config, err := s.settings.OperatorTLS().ServerConfig()
-	if err != nil {
-		return err
-	}
-	if s.operator, err = operator.NewServer(operator.Options{
-		TLS: config, Logger: s.logger, Status: s.status, Targets: s.targets, Flows: s.flows, Burn: s.burn,
-		Drain: s.requestDrain,
-	}); err != nil {
-		return err
-	}
-	if s.listener, err = net.Listen("tcp", s.settings.OperatorAddress().String()); err != nil {
-		return merry.Prepend(err, "listen for operators")
-	}
-	return nil
+func (s *Supervisor) buildOperator() (err error) {
+	s.operator, err = operator.NewEndpoint(context.Background(), s.settings.OperatorAddress(), s.settings.OperatorTLS(), operator.Options{
+		Logger: s.logger, Status: s.status, Targets: s.targets, Flows: s.flows, Burn: s.burn, Drain: s.requestDrain,
+	})
+	return err
 }
 
 // requestDrain starts a graceful shutdown; further requests change nothing.
@@ -188,7 +176,7 @@
 	group, groupContext := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.messenger.Run(groupContext) })
 	group.Go(func() error { return s.watcher.Run(groupContext) })
-	group.Go(func() error { return s.operator.Serve(groupContext, s.listener) })
+	group.Go(func() error { return s.operator.Serve(groupContext) })
 	group.Go(func() error {
 		s.recorder.Follow(groupContext, s.eventState)
 		return nil
