Tell a new flow from an earlier one with the same addresses and ports

Cause: flows are known by addresses and ports alone, and callers use their ports again. The tracker kept the record of an ended flow until its idle timeout, so that a new opening packet of the same ports was accepted by a draining or full target (rules DRAIN, ROUTE), the first request was not counted if its sequence number was lower, and a late FIN of the earlier flow ended the new one. A balancer's hint of the earlier flow made a retransmitted opening packet avoid a target that it had not tried.

Change: an opening packet belongs to a flow only with the flow's first sequence number and before its end; packets outside the flow's sequence window change no state; hints carry the sequence number of the opening packet. A reset with sequence number 0 still ends a flow (RFC 9293).

The FIN in TestLoad's lost-flow case gets a sequence number inside its flow; with 0 it is now a packet of another flow.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -162,7 +162,7 @@
 // knows the load of its target better than the process that sent the packet.
 func (d *Deliverer) acceptsNewFlow(table *router.Table, route *router.Route, p framer.Packet, now time.Time) bool {
 	key := p.Key()
-	if d.options.Tracker.HoldsFlow(key) {
+	if d.options.Tracker.HoldsFlow(key, p.Sequence) {
 		return true
 	}
 	_, target, ok := d.ownTarget(table)
@@ -216,7 +216,7 @@
 // target of its search.
 func (d *Deliverer) continueSearch(datagram []byte, p framer.Packet, writer *batcher.Writer, now time.Time) {
 	returned.Inc()
-	mark := d.options.Tracker.ObserveReturnedPacket(p.Key(), now)
+	mark := d.options.Tracker.ObserveReturnedPacket(p.Key(), p, now)
 	p.Mark.Via, p.Mark.Hops = mark.Via, mark.Hops
 	table := d.options.Table()
 	route, ok := table.FindRoute(p.Destination)
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/deliverer/deliverer_test.go
@@ -122,4 +122,21 @@
 		d.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{}, now)
 		is.True(d.acceptsNewFlow(table, route, p, now))
 	})
+	// Guards against new requests at a draining target (rule DRAIN) from a caller
+	// that uses the port of an ended flow again.
+	t.Run("a new flow on the port of an ended one is decided anew", func(t *testing.T) {
+		is := is.New(t)
+		d := newDeliverer(t)
+		draining, route := newTable(func(t *router.Target) { t.State = router.Draining })
+		serving, _ := newTable(keep)
+		p := packet(900, setOpening)
+		d.options.Tracker.ObserveCallerPacket(p.Key(), p, now)
+		d.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{}, now)
+		again := p
+		again.Sequence = p.Sequence + 5000
+		is.True(!d.acceptsNewFlow(draining, route, again, now))
+		d.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{FIN: true}, now)
+		is.True(!d.acceptsNewFlow(draining, route, p, now))
+		is.True(d.acceptsNewFlow(serving, route, p, now))
+	})
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -71,7 +71,7 @@
 type Forwarder struct {
 	options Options
 	conn    *batcher.Conn
-	hints   *lru.Cache[uint64, uint32]
+	hints   *lru.Cache[uint64, hint]
 	// lastReceived is the time of the last received batch, in ns since the Unix
 	// epoch.
 	lastReceived atomic.Int64
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "start forwarder")
 	}
-	hints, err := lru.New[uint64, uint32](maxHints)
+	hints, err := lru.New[uint64, hint](maxHints)
 	if err != nil {
 		return nil, merry.Prepend(err, "start forwarder")
 	}
@@ -96,8 +96,21 @@
 // Close closes the socket, which ends Run.
 func (f *Forwarder) Close() error { return f.conn.Close() }
 
+// hint is the target that holds a flow or that its opening packet was sent to.
+type hint struct {
+	target uint32
+	// sequence is the sequence number of the opening packet, if hasSequence. It
+	// tells the flow from an earlier one with the same addresses and ports.
+	sequence    uint32
+	hasSequence bool
+}
+
 // AddHint caches which target holds a flow. It is safe for concurrent use.
-func (f *Forwarder) AddHint(flow uint64, target uint32) { f.hints.Add(flow, target) }
+func (f *Forwarder) AddHint(flow uint64, target uint32) {
+	h, _ := f.hints.Peek(flow)
+	h.target = target
+	f.hints.Add(flow, h)
+}
 
 // TimeSinceLastPacket returns the time since the last packet from a caller
 // arrived. It is safe for concurrent use.
@@ -151,7 +164,7 @@
 		hop, ok := f.chooseNewFlowTarget(table, route, key, p)
 		if ok {
 			opened.Inc()
-			f.hints.Add(key, hop.Number)
+			f.hints.Add(key, hint{target: hop.Number, sequence: p.Sequence, hasSequence: true})
 			f.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
 				Str("route", route.Name).Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.AckNumber).
 				Bool("second_pass", hop.Mark.Pass().IsSecond()).Uint64("version", table.Version()).
@@ -159,7 +172,8 @@
 		}
 		return hop, ok
 	}
-	if number, ok := f.hints.Get(key); ok {
+	if h, ok := f.hints.Get(key); ok {
+		number := h.target
 		target, ok := table.FindTarget(number)
 		if ok && route.Allows(target.Service) && (target.State != router.Gone || !f.options.IsDown(number)) {
 			return router.Hop{Number: number, Target: target, Mark: p.Mark}, true
@@ -174,8 +188,8 @@
 // another target if there is one.
 func (f *Forwarder) chooseNewFlowTarget(table *router.Table, route *router.Route, key uint64, p framer.Packet) (router.Hop, bool) {
 	accept := f.options.Chooser.AcceptNewFlow(route.SelectService(key))
-	if previous, ok := f.hints.Get(key); ok && p.AckNumber > 0 {
-		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != previous && accept(n, t, pass) }
+	if h, ok := f.hints.Get(key); ok && p.AckNumber > 0 && h.hasSequence && h.sequence == p.Sequence {
+		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != h.target && accept(n, t, pass) }
 		if hop, ok := table.FindNextHop(route, key, p.Mark, others); ok {
 			return hop, true
 		}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -120,6 +120,16 @@
 		first := f.target(opening)
 		is.True(f.target(framer.Packet{SYN: true, AckNumber: 1}) != first)
 	})
+	// Guards against a second-best target because of the hint of an earlier flow
+	// with the same addresses and ports.
+	t.Run("a retransmitted opening packet of the next flow avoids no target that it did not try", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, feeds("a", "b")...)
+		first := f.target(opening)
+		is.Equal(f.target(framer.Packet{SYN: true, AckNumber: 1, Sequence: 5000}), first)
+		f.AddHint(framer.Packet{Source: caller, Destination: published}.Key(), router.Target{ID: first}.Number())
+		is.True(f.target(framer.Packet{SYN: true, AckNumber: 2, Sequence: 5000}) != first)
+	})
 	t.Run("a draining target gets no new flows and keeps its open ones", func(t *testing.T) {
 		is := is.New(t)
 		targets := feeds("a")
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -29,6 +29,9 @@
 	// the target after which the target counts as silent. A running target answers
 	// an opening packet within about 1 ms.
 	silenceTimeout = 250 * time.Millisecond
+	// maxBytesAhead exceeds the data that a caller sends beyond what the target has
+	// acknowledged: 16 packets of at most 1,200 bytes.
+	maxBytesAhead = 1 << 17
 )
 
 // responseTime is a histogram of the seconds from the caller's data to the
@@ -56,6 +59,8 @@
 	lastSeen time.Time
 	// pendingSince is the time of the first data of the caller that is unanswered.
 	pendingSince   time.Time
+	firstSequence  uint32 // sequence number of the opening packet, if hasOpening
+	hasOpening     bool   // the opening packet of the flow was seen
 	nextSequence   uint32 // sequence number after the caller's last new byte
 	hasSentData    bool   // the caller has sent data, or the wait for it has ended
 	isPending      bool   // the caller's data is unanswered
@@ -103,16 +108,27 @@
 		t.unansweredSince = now
 	}
 	f := t.flows[key]
+	if f != nil && p.SYN && !f.isOpenedBy(p.Sequence) {
+		t.finishRequest(f, recorder.OutcomeUnknown, now)
+		t.removeFlow(key, f)
+		f = nil
+	}
 	if f == nil {
 		if len(t.flows) >= t.options.MaxFlows {
 			return
 		}
-		f = &flow{caller: p.Source, published: p.Destination, openedAt: now, hasSentData: !p.SYN, nextSequence: p.Sequence}
+		f = &flow{
+			caller: p.Source, published: p.Destination, openedAt: now, firstSequence: p.Sequence, hasOpening: p.SYN,
+			hasSentData: !p.SYN, nextSequence: p.Sequence,
+		}
 		t.flows[key] = f
 		if p.SYN {
 			t.expectedRequests++
 		}
 	}
+	if !f.contains(p) {
+		return
+	}
 	f.lastSeen, f.via, f.hops = now, p.Mark.Via, p.Mark.Hops
 	end := p.Sequence + uint32(p.Length)
 	if p.Length > 0 && (!f.hasSentData || int32(end-f.nextSequence) > 0) {
@@ -136,6 +152,24 @@
 	}
 }
 
+// isOpenedBy reports whether an opening packet with a sequence number belongs to
+// this flow. Callers use their ports again, so an opening packet with another
+// number, or after the end of the flow, opens a new flow with the same key. A flow
+// whose opening packet was not seen may have any number.
+func (f *flow) isOpenedBy(sequence uint32) bool {
+	return !f.hasEnded && (!f.hasOpening || f.firstSequence == sequence)
+}
+
+// contains reports whether a caller's packet can belong to this flow. A packet of
+// an earlier flow with the same key that arrives late must not end this one. A
+// reset may have sequence number 0 (RFC 9293, section 3.10.7.1).
+func (f *flow) contains(p framer.Packet) bool {
+	if !f.hasOpening || p.RST && p.Sequence == 0 {
+		return true
+	}
+	return int32(p.Sequence-f.firstSequence) >= 0 && int32(p.Sequence-f.nextSequence) <= maxBytesAhead
+}
+
 // finishRequest ends the pending request of a flow, if there is one, and records
 // its outcome.
 func (t *Tracker) finishRequest(f *flow, o recorder.Outcome, now time.Time) {
@@ -198,9 +232,9 @@
 	return f.via, true
 }
 
-// ObserveReturnedPacket records that the target returned a packet, and returns
-// the balancer and hops of the mark that the packet had on arrival.
-func (t *Tracker) ObserveReturnedPacket(key uint64, now time.Time) framer.Mark {
+// ObserveReturnedPacket records that the target returned a caller's packet, and
+// returns the balancer and hops of the mark of the flow's last packet.
+func (t *Tracker) ObserveReturnedPacket(key uint64, p framer.Packet, now time.Time) framer.Mark {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.unansweredSince = time.Time{}
@@ -208,6 +242,9 @@
 	if f == nil {
 		return framer.Mark{}
 	}
+	if !f.contains(p) {
+		return framer.Mark{Via: f.via, Hops: f.hops}
+	}
 	if f.isEstablished && !f.hasEnded {
 		t.assessor.ObserveLostFlow(now)
 		t.finishRequest(f, recorder.OutcomeBroken, now)
@@ -275,12 +312,13 @@
 	}
 }
 
-// HoldsFlow reports whether the flow is tracked and the target has answered it.
-func (t *Tracker) HoldsFlow(key uint64) bool {
+// HoldsFlow reports whether the target has answered the flow that an opening
+// packet with a sequence number belongs to, and neither end has closed it.
+func (t *Tracker) HoldsFlow(key uint64, sequence uint32) bool {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	f := t.flows[key]
-	return f != nil && f.isEstablished
+	return f != nil && f.isEstablished && f.isOpenedBy(sequence)
 }
 
 // TryProbe reports whether an opening packet may be sent to a silent target to
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -87,7 +87,7 @@
 		tr.ObserveCallerPacket(key, framer.Packet{RST: true}, start)
 		is.Equal(tr.Load(start), Load{})
 		tr.ObserveCallerPacket(key, open(3), start)
-		is.Equal(tr.ObserveReturnedPacket(key, start), framer.Mark{Via: balancer, Hops: 3})
+		is.Equal(tr.ObserveReturnedPacket(key, data(101), start), framer.Mark{Via: balancer, Hops: 3})
 		is.Equal(tr.Load(start), Load{})
 	})
 	t.Run("a target that does not answer an opening packet is silent", func(t *testing.T) {
@@ -107,11 +107,11 @@
 		is := is.New(t)
 		tr := NewTracker(Options{})
 		openFlow(tr, start)
-		tr.ObserveCallerPacket(key, framer.Packet{FIN: true}, start)
-		tr.ObserveReturnedPacket(key, start)
+		tr.ObserveCallerPacket(key, framer.Packet{FIN: true, Sequence: 101}, start)
+		tr.ObserveReturnedPacket(key, data(101), start)
 		is.True(!tr.Load(start).IsSuspect)
 		openFlow(tr, start)
-		tr.ObserveReturnedPacket(key, start)
+		tr.ObserveReturnedPacket(key, data(101), start)
 		is.True(tr.Load(start).IsSuspect)
 	})
 	t.Run("the number of flows is bounded", func(t *testing.T) {
@@ -124,6 +124,86 @@
 	})
 }
 
+// TestReusedPort guards against an earlier flow's state that decides about the
+// next flow with the same addresses and ports: a draining or full target that
+// takes the new flow, a first request that is not counted, and a late packet that
+// ends the new flow.
+func TestReusedPort(t *testing.T) {
+	opening := func(sequence uint32) framer.Packet { return framer.Packet{SYN: true, Sequence: sequence} }
+	// newUsedTracker returns a tracker with a flow that has carried a request and
+	// that both ends have closed.
+	newUsedTracker := func() *Tracker {
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		tr.ObserveCallerPacket(key, data(101), start)
+		tr.ObserveTargetPacket(key, framer.Packet{Length: 10}, start)
+		tr.ObserveCallerPacket(key, framer.Packet{FIN: true, Sequence: 151}, start)
+		tr.ObserveTargetPacket(key, framer.Packet{FIN: true}, start)
+		return tr
+	}
+	t.Run("a flow that has ended is not held", func(t *testing.T) {
+		is := is.New(t)
+		tr := newUsedTracker()
+		is.True(!tr.HoldsFlow(key, 100))
+		is.True(!tr.HoldsFlow(key, 9000))
+	})
+	t.Run("an opening packet with another sequence number is not of the held flow", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		is.True(tr.HoldsFlow(key, 100))
+		is.True(!tr.HoldsFlow(key, 101))
+	})
+	t.Run("a flow whose opening packet was not seen is held", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		tr.ObserveCallerPacket(key, data(500), start)
+		tr.ObserveTargetPacket(key, framer.Packet{ACK: true}, start)
+		is.True(tr.HoldsFlow(key, 100))
+	})
+	for name, sequence := range map[string]uint32{"a higher": 9000, "a lower": 20, "the same": 100} {
+		t.Run("the first request of the next flow counts with "+name+" sequence number", func(t *testing.T) {
+			is := is.New(t)
+			tr := newUsedTracker()
+			tr.ObserveCallerPacket(key, opening(sequence), start)
+			is.Equal(tr.Load(start), Load{Running: 1, Flows: 1})
+			tr.ObserveTargetPacket(key, framer.Packet{SYN: true, ACK: true}, start)
+			tr.ObserveCallerPacket(key, data(sequence+1), start)
+			is.Equal(tr.Load(start), Load{Running: 1, Flows: 1})
+			is.Equal(tr.Flows(1)[0].Requests(), 1)
+			tr.ObserveTargetPacket(key, framer.Packet{Length: 10}, start)
+			is.Equal(tr.Load(start), Load{Flows: 1})
+		})
+	}
+	t.Run("a request of the earlier flow without an answer ends as unknown", func(t *testing.T) {
+		is := is.New(t)
+		var outcomes []recorder.Outcome
+		tr := NewTracker(Options{Record: func(o recorder.Outcome, _ time.Time) { outcomes = append(outcomes, o) }})
+		openFlow(tr, start)
+		tr.ObserveCallerPacket(key, data(101), start)
+		tr.ObserveCallerPacket(key, opening(9000), start)
+		is.Equal(outcomes, []recorder.Outcome{recorder.OutcomeUnknown})
+		is.Equal(tr.Load(start), Load{Running: 1, Flows: 1})
+	})
+	for name, late := range map[string]framer.Packet{
+		"end": {FIN: true, Sequence: 151}, "reset": {RST: true, Sequence: 151}, "data": data(101),
+		"data far ahead": data(9000 + 2*maxBytesAhead),
+	} {
+		t.Run("a late packet of the earlier flow does not change the next one: "+name, func(t *testing.T) {
+			is := is.New(t)
+			tr := newUsedTracker()
+			tr.ObserveCallerPacket(key, opening(9000), start)
+			tr.ObserveTargetPacket(key, framer.Packet{SYN: true, ACK: true}, start)
+			tr.ObserveCallerPacket(key, data(9001), start)
+			tr.ObserveCallerPacket(key, late, start)
+			is.Equal(tr.Load(start), Load{Running: 1, Flows: 1})
+			is.True(tr.HoldsFlow(key, 9000))
+			tr.ObserveReturnedPacket(key, late, start)
+			is.Equal(tr.Load(start), Load{Running: 1, Flows: 1})
+		})
+	}
+}
+
 func TestHints(t *testing.T) {
 	t.Run("the balancer of a flow that a search found gets one hint", func(t *testing.T) {
 		is := is.New(t)
@@ -154,7 +234,7 @@
 	}{
 		{"an answer", func(t *Tracker) { t.ObserveTargetPacket(key, framer.Packet{Length: 10}, start) }, []recorder.Outcome{recorder.OutcomeGood}},
 		{"the target's reset", func(t *Tracker) { t.ObserveTargetPacket(key, framer.Packet{RST: true}, start) }, []recorder.Outcome{recorder.OutcomeBroken}},
-		{"a flow that the target lost", func(t *Tracker) { t.ObserveReturnedPacket(key, start) }, []recorder.Outcome{recorder.OutcomeBroken}},
+		{"a flow that the target lost", func(t *Tracker) { t.ObserveReturnedPacket(key, data(101), start) }, []recorder.Outcome{recorder.OutcomeBroken}},
 		{"the caller's reset", func(t *Tracker) { t.ObserveCallerPacket(key, framer.Packet{RST: true}, start) }, []recorder.Outcome{recorder.OutcomeUnknown}},
 		{"no answer", func(t *Tracker) { t.Expire(start.Add(requestTimeout+1), time.Minute) }, []recorder.Outcome{recorder.OutcomeUnknown}},
 		{"an idle flow", func(t *Tracker) { t.Expire(start.Add(2*time.Second), time.Second) }, []recorder.Outcome{recorder.OutcomeUnknown}},
