Limit a panic or a failed receive to the message that caused it

Cause: one unexpected error could take a whole process down. A receive that failed with any error but an ICMP one (ENOBUFS, ENOMEM) ended the packet flow processes and left a published address of an HTTP/3 balancer unserved; QUIC closed every connection of an agent; an accept that failed (a connection that was aborted, no descriptors) ended every process with peers; a panic in the handling of a datagram, a signal or a peer's stream ended the process.

Change: Reader.Read repeats a receive after 10 ms unless the socket is unusable, the agent's QUIC socket does the same, the messenger accepts again after 20 ms.

--- a/internal/batcher/batcher_test.go
+++ b/internal/batcher/batcher_test.go
@@ -6,10 +6,14 @@
 	"errors"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -116,3 +120,61 @@
 		is.True(errors.Is(<-done, net.ErrClosed))
 	})
 }
+
+// TestReceiveErrors guards against a process that ends, or stops serving an
+// address, because a receive failed once.
+func TestReceiveErrors(t *testing.T) {
+	t.Run("a receive without kernel memory is repeated", func(t *testing.T) {
+		is := is.New(t)
+		from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+		r := to.NewReader(NewPool(4, 100, 0))
+		failures := []syscall.Errno{unix.ENOBUFS, unix.ENOMEM, unix.EIO}
+		r.receive = func(fd uintptr, messages []mmsghdr) (int, syscall.Errno) {
+			if len(failures) == 0 {
+				return receiveMessages(fd, messages)
+			}
+			errno := failures[0]
+			failures = failures[1:]
+			return 0, errno
+		}
+		w, destination := NewWriter(1), NewSockaddr(to.LocalAddrPort())
+		w.Add([]byte("x"), &destination)
+		assertFlush(is, w, from, 0)
+		b, err := r.Read()
+		is.NoErr(err)
+		is.Equal(b.Len(), 1)
+		is.Equal(len(failures), 0)
+	})
+	t.Run("an unusable socket is an error", func(t *testing.T) {
+		is := is.New(t)
+		r := listen(t, "127.0.0.1:0").NewReader(NewPool(4, 100, 0))
+		r.receive = func(uintptr, []mmsghdr) (int, syscall.Errno) { return 0, unix.ENOTSOCK }
+		_, err := r.Read()
+		is.True(errors.Is(err, unix.ENOTSOCK))
+	})
+}
+
+// TestServe guards against a process that one datagram ends.
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	handled := make(chan string, 3)
+	done := make(chan error, 1)
+	go func() {
+		done <- to.Serve(to, zerolog.Nop(), func() {}, func(b []byte, _ *Writer, _ time.Time) {
+			if string(b) == "faulty" {
+				panic("index out of range")
+			}
+			handled <- string(b)
+		})
+	}()
+	w, destination := NewWriter(3), NewSockaddr(to.LocalAddrPort())
+	for _, content := range []string{"first", "faulty", "last"} {
+		w.Add([]byte(content), &destination)
+	}
+	assertFlush(is, w, from, 0)
+	is.Equal(<-handled, "first")
+	is.Equal(<-handled, "last")
+	is.NoErr(to.Close())
+	is.NoErr(<-done)
+}
--- a/internal/batcher/conn.go
+++ b/internal/batcher/conn.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/netip"
 	"syscall"
+	"time"
 	"unsafe"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 )
@@ -15,6 +17,12 @@
 // may grant less (net.core.rmem_max).
 const socketBufferSize = 4 << 20
 
+// receiveRetryDelay is the pause after a failed receive, so that a lasting shortage
+// of kernel memory does not occupy a processor.
+const receiveRetryDelay = 10 * time.Millisecond
+
+var receiveErrors = metrics.GetOrCreateCounter("kingcupvalve_batcher_receive_errors_total")
+
 // Conn is a UDP socket that is read and written in batches.
 type Conn struct {
 	*net.UDPConn
@@ -79,20 +87,23 @@
 	batch           *Batch
 	errno           syscall.Errno
 	receiveCallback func(fd uintptr) bool
+	receive         func(fd uintptr, messages []mmsghdr) (int, syscall.Errno)
 
 	onUnreachable func(netip.AddrPort)
 }
 
 // NewReader returns a reader that takes its batches from a pool.
 func (c *Conn) NewReader(pool *Pool) *Reader {
-	r := &Reader{conn: c, pool: pool}
+	r := &Reader{conn: c, pool: pool, receive: receiveMessages}
 	r.receiveCallback = r.receiveBatch
 	return r
 }
 
 // Read waits for datagrams and returns a batch of at least one. The caller must
-// put the batch back into the pool. Read returns an error that wraps net.ErrClosed
-// after the socket was closed.
+// put the batch back into the pool. A receive that fails is repeated, because the
+// socket can be used again when the cause has passed. Read returns an error that
+// wraps net.ErrClosed after the socket was closed, and any other error if the
+// socket can't be used any more.
 func (r *Reader) Read() (*Batch, error) {
 	for {
 		if err := r.conn.raw.Read(r.receiveCallback); err != nil {
@@ -103,12 +114,25 @@
 			b := r.batch
 			r.batch = nil
 			return b, nil
-		case !isPendingICMPError(r.errno):
+		case isUnusableSocket(r.errno):
 			return nil, merry.Prepend(r.errno, "receive datagrams")
+		case !isPendingICMPError(r.errno):
+			receiveErrors.Inc()
+			time.Sleep(receiveRetryDelay)
 		}
 	}
 }
 
+// isUnusableSocket reports whether an error shows that the descriptor or the
+// arguments of the system call are wrong, so that a repetition fails too.
+func isUnusableSocket(errno syscall.Errno) bool {
+	switch errno {
+	case unix.EBADF, unix.ENOTSOCK, unix.EINVAL, unix.EFAULT, unix.ENOSYS:
+		return true
+	}
+	return false
+}
+
 // isPendingICMPError reports whether an error may be an ICMP error about an earlier
 // datagram, which the kernel reports at the next system call on the socket.
 func isPendingICMPError(errno syscall.Errno) bool {
@@ -123,11 +147,10 @@
 	b := r.pool.Get()
 	b.reset()
 	for {
-		n, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, fd, uintptr(unsafe.Pointer(&b.messages[0])),
-			uintptr(len(b.messages)), unix.MSG_DONTWAIT, 0, 0)
+		n, errno := r.receive(fd, b.messages)
 		switch errno {
 		case 0:
-			b.count = int(n)
+			b.count = n
 			r.batch, r.errno = b, 0
 			return true
 		case unix.EINTR:
@@ -145,6 +168,13 @@
 	}
 }
 
+// receiveMessages receives the datagrams that have arrived, without waiting.
+func receiveMessages(fd uintptr, messages []mmsghdr) (int, syscall.Errno) {
+	n, _, errno := unix.Syscall6(unix.SYS_RECVMMSG, fd, uintptr(unsafe.Pointer(&messages[0])), uintptr(len(messages)),
+		unix.MSG_DONTWAIT, 0, 0)
+	return int(n), errno
+}
+
 // Writer collects datagrams and writes them in batches. It must be used by one
 // goroutine only, but several writers may share a socket.
 type Writer struct {
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -1,7 +1,10 @@
 package listener
 
 import (
+	"errors"
 	"net"
+	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -17,6 +20,15 @@
 type conn struct {
 	listener *Listener
 	buffer   []byte
+	receive  func(b []byte) (int, netip.AddrPort, error)
+}
+
+// receiveRetryDelay is the pause after a failed receive, so that a lasting fault
+// does not occupy a processor.
+const receiveRetryDelay = 10 * time.Millisecond
+
+func newConn(l *Listener) *conn {
+	return &conn{listener: l, buffer: make([]byte, 1<<16), receive: l.udp.ReadFromUDPAddrPort}
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 2048); return &b }}
@@ -25,10 +37,16 @@
 // one goroutine.
 func (c *conn) ReadFrom(p []byte) (int, net.Addr, error) {
 	for {
-		n, from, err := c.listener.udp.ReadFromUDPAddrPort(c.buffer)
-		if err != nil {
+		n, from, err := c.receive(c.buffer)
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return 0, nil, err
 		}
+		if err != nil {
+			// QUIC would close every connection because of this error.
+			c.listener.counters.add(dropReceive)
+			time.Sleep(receiveRetryDelay)
+			continue
+		}
 		payload, address, ok := c.listener.receive(c.buffer[:n], from, time.Now())
 		if !ok {
 			continue
--- a/internal/listener/counters.go
+++ b/internal/listener/counters.go
@@ -31,6 +31,7 @@
 	dropNoTarget
 	dropNoBalancer
 	dropWrite
+	dropReceive
 	resultCount
 )
 
@@ -39,6 +40,7 @@
 	"drop_tunnel_invalid", "drop_direction", "drop_service", "drop_address", "drop_hops",
 	"drop_malformed", "drop_unmarked", "drop_mark_service", "drop_mark_target", "drop_reset_long",
 	"drop_size", "drop_no_target", "drop_no_balancer", "drop_write",
+	"drop_receive_failed",
 }
 
 var resultMetrics = func() (m [resultCount]*metrics.Counter) {
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -102,7 +102,7 @@
 	l := &Listener{options: o, codec: codec, decoder: marks.NewDecoder(), udp: udp, resetter: resetter{key: resetKey}, drainingChanged: make(chan struct{}, 1)}
 	limiter := rate.NewLimiter(rate.Limit(o.HandshakeRate), int(2*o.HandshakeRate)+1)
 	l.transport = &quic.Transport{
-		Conn:                  &conn{listener: l, buffer: make([]byte, 1<<16)},
+		Conn:                  newConn(l),
 		ConnectionIDGenerator: newConnectionIDGenerator(marks, o),
 		StatelessResetKey:     resetKey,
 		TokenGeneratorKey:     tokenKey,
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -6,8 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,7 +154,7 @@
 		is.True(!ok)
 		is.Equal(count(ls[0], "forwarded"), uint64(1))
 		b := make([]byte, 1452)
-		n, address, err := (&conn{listener: ls[1], buffer: make([]byte, 1<<16)}).ReadFrom(b)
+		n, address, err := newConn(ls[1]).ReadFrom(b)
 		is.NoErr(err)
 		is.Equal(b[:n], newFlow("12345678"))
 		is.Equal(address.String(), callerAddress.String())
@@ -322,3 +325,24 @@
 		is.Equal(refused.ErrorCode, quic.ConnectionRefused)
 	})
 }
+
+// TestReceiveErrors guards against a failed receive that makes QUIC close every
+// connection of the agent, and against an agent that does not stop.
+func TestReceiveErrors(t *testing.T) {
+	is := is.New(t)
+	_, ls := newListeners(t, 1, nil)
+	c := newConn(ls[0])
+	failures := []error{syscall.ENOBUFS, syscall.ENOMEM, os.ErrDeadlineExceeded}
+	c.receive = func([]byte) (int, netip.AddrPort, error) {
+		err := failures[0]
+		failures = failures[1:]
+		return 0, netip.AddrPort{}, err
+	}
+	_, _, err := c.ReadFrom(make([]byte, 1500))
+	is.True(errors.Is(err, os.ErrDeadlineExceeded)) // QUIC interrupts a read this way
+	is.Equal(count(ls[0], "drop_receive_failed"), uint64(2))
+	c = newConn(ls[0])
+	is.NoErr(ls[0].udp.Close())
+	_, _, err = c.ReadFrom(make([]byte, 1500))
+	is.True(errors.Is(err, net.ErrClosed))
+}
--- a/internal/messenger/faults_test.go
+++ b/internal/messenger/faults_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,3 +144,57 @@
 		t.Logf("accepting side noticed after %v", time.Since(begin))
 	})
 }
+
+// failingListener fails its first accepts.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		err := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptErrors guards against a process that ends because a peer's connection
+// was aborted before it was accepted, or because descriptors ran out for a moment.
+func TestAcceptErrors(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	server := newMessenger(t, a.config(t), nil)
+	server.listener = &failingListener{Listener: server.listener, failures: []error{syscall.ECONNABORTED, syscall.EMFILE}}
+	run(t, server)
+	server.Handle(LaneControl, echo)
+	client := start(t, a.config(t), nil)
+	stream, err := client.Open(t.Context(), server.Address(), LaneControl)
+	is.NoErr(err)
+	is.NoErr(stream.Send(head(1)))
+	_, err = stream.Receive()
+	is.NoErr(err)
+}
+
+// TestHandlerPanic guards against a process that one message of a peer ends.
+func TestHandlerPanic(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	server := start(t, a.config(t), nil)
+	server.Handle(LaneControl, func(ctx context.Context, s *Stream) {
+		if e, err := s.Receive(); err == nil && e.GetHead().GetRevision() == 13 {
+			panic("index out of range")
+		}
+		echo(ctx, s)
+	})
+	client := start(t, a.config(t), nil)
+	for _, revision := range []uint64{13, 1} {
+		stream, err := client.Open(t.Context(), server.Address(), LaneControl)
+		is.NoErr(err)
+		is.NoErr(stream.Send(head(revision)))
+		is.NoErr(stream.Send(head(revision)))
+		_, err = stream.Receive()
+		is.Equal(err != nil, revision == 13)
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -12,13 +12,19 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/hashicorp/yamux"
 
+	"kingcupvalve.example/kingcupvalve/internal/recoverer"
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
+// acceptRetryDelay is the pause after a failed accept, so that a lasting lack of
+// descriptors does not occupy a processor.
+const acceptRetryDelay = 20 * time.Millisecond
+
 var (
 	sessionsAccepted = metrics.GetOrCreateCounter("kingcupvalve_messenger_sessions_accepted_total")
 	sessionsRefused  = metrics.GetOrCreateCounter("kingcupvalve_messenger_sessions_refused_total")
 	streamsRefused   = metrics.GetOrCreateCounter("kingcupvalve_messenger_streams_refused_total")
+	acceptErrors     = metrics.GetOrCreateCounter("kingcupvalve_messenger_accept_errors_total")
 	dialFailures     = metrics.GetOrCreateCounter("kingcupvalve_messenger_dial_failures_total")
 )
 
@@ -37,6 +43,7 @@
 	sessions      map[*yamux.Session]struct{}
 	incomingCount int
 	closed        bool
+	streams       *recoverer.Recoverer
 }
 
 // NewMessenger listens on the address of the options. Connections are served
@@ -55,6 +62,7 @@
 		handlers: make(map[string]Handler),
 		links:    make(map[linkKey]*link),
 		sessions: make(map[*yamux.Session]struct{}),
+		streams:  recoverer.NewRecoverer(options.Logger, "stream"),
 	}, nil
 }
 
@@ -82,14 +90,21 @@
 		m.Close()
 	})
 	m.wait.Go(func() { m.expireLinks(ctx) })
-	var failure error
 	for {
 		conn, err := m.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			break
+		}
 		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				failure = merry.Prepend(err, "accept peer")
+			// A connection that its peer has ended, or a lack of descriptors, does not
+			// concern the streams that are open.
+			acceptErrors.Inc()
+			m.options.Logger.Warn().Err(err).Msg("failed to accept peer")
+			select {
+			case <-ctx.Done():
+			case <-time.After(acceptRetryDelay):
 			}
-			break
+			continue
 		}
 		m.lock.Lock()
 		admitted := !m.closed && m.incomingCount < m.options.MaxSessions
@@ -116,7 +131,7 @@
 	// again only afterwards.
 	<-closed
 	m.wait.Wait()
-	return failure
+	return nil
 }
 
 // Close stops listening and ends every session. Open fails afterwards.
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -43,6 +43,13 @@
 }
 
 func start(t *testing.T, config *tls.Config, change func(*Options)) *Messenger {
+	t.Helper()
+	m := newMessenger(t, config, change)
+	run(t, m)
+	return m
+}
+
+func newMessenger(t *testing.T, config *tls.Config, change func(*Options)) *Messenger {
 	t.Helper()
 	options := Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), TLS: config,
@@ -56,6 +63,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return m
+}
+
+// run runs a messenger until the end of the test.
+func run(t *testing.T, m *Messenger) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- m.Run(ctx) }()
@@ -65,7 +78,6 @@
 			t.Error(err)
 		}
 	})
-	return m
 }
 
 func echo(_ context.Context, s *Stream) {
--- a/internal/messenger/serve.go
+++ b/internal/messenger/serve.go
@@ -87,6 +87,8 @@
 	if handler == nil {
 		return merry.Prependf(ErrProtocol, "no handler of lane %q", s.lane)
 	}
-	handler(ctx, s)
+	if !m.streams.Handle(func() { handler(ctx, s) }) {
+		return merry.Prependf(ErrProtocol, "handler of lane %q panicked", s.lane)
+	}
 	return nil
 }
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -8,12 +8,18 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"kingcupvalve.example/kingcupvalve/internal/recoverer"
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
+// receiveRetryDelay is the pause after a failed receive, so that a lasting fault
+// does not occupy a processor.
+const receiveRetryDelay = 10 * time.Millisecond
+
 // Receive handles incoming signals until Close is called.
 func (s *Signaller) Receive() error {
 	buffer := make([]byte, maxDatagramBytes)
+	messages := recoverer.NewRecoverer(s.options.Logger, "signal")
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -21,6 +27,7 @@
 		}
 		if err != nil {
 			s.options.Logger.Debug().Err(err).Msg("failed to receive signal")
+			time.Sleep(receiveRetryDelay)
 			continue
 		}
 		var signal wirepb.Signal
@@ -28,7 +35,7 @@
 			s.options.Logger.Warn().Err(err).Stringer("address", from.Addr()).Msg("failed to decode signal")
 			continue
 		}
-		s.handle(&signal, from.Addr().Unmap(), time.Now())
+		messages.Handle(func() { s.handle(&signal, from.Addr().Unmap(), time.Now()) })
 	}
 }
 
