Send all items to a peer that may lack a removal

Cause: a process that restarted, or that had dropped old tombstones, answered a request for changes since revision R with the items it knew. Removals between R and its first read were not among them, and the peer counted its table as complete: a target that had left stayed in use there for good (failure: a server that had left was in use again after a restart).

Change: the registrar knows the oldest revision since which it has every removal. Addresses of entries, routes and peers' items must be IPv4 with a port; encoding another one into a packet panics.

--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -18,7 +18,8 @@
 const itemsPerReply = 500
 
 // FetchChanges fetches the changes after a revision from the process at an
-// address. It observes the deadline of the context, and fails with
+// address, or all items if that process does not know every removal since. It
+// observes the deadline of the context, and fails with
 // messenger.ErrProtocol if the process sends anything but table replies.
 func FetchChanges(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, after uint64) (Batch, error) {
 	var batch Batch
@@ -49,7 +50,7 @@
 			batch.Changes = append(batch.Changes, decodeItem(item))
 		}
 		if !reply.GetMore() {
-			batch.Revision = reply.GetRevision()
+			batch.Revision, batch.IsSnapshot = reply.GetRevision(), reply.GetIsSnapshot()
 			batch.ConfirmedAt = time.Now().Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond)
 			return batch, nil
 		}
@@ -84,7 +85,7 @@
 	for {
 		n := min(len(changes), itemsPerReply)
 		reply := &wirepb.TableReply{
-			Revision: batch.Revision, More: n < len(changes),
+			Revision: batch.Revision, IsSnapshot: batch.IsSnapshot, More: n < len(changes),
 			ConfirmedAgeMs: uint32(max(0, time.Since(batch.ConfirmedAt).Milliseconds())),
 		}
 		for _, c := range changes[:n] {
@@ -131,7 +132,7 @@
 			Version: c.GetVersion(), IdleTimeout: time.Duration(c.GetIdleTimeoutMs()) * time.Millisecond, Services: c.GetServices(),
 		}
 		for _, r := range c.GetRoutes() {
-			address, err := netip.ParseAddrPort(r.GetAddress())
+			address, err := router.ParseAddress(r.GetAddress())
 			if err != nil {
 				continue
 			}
@@ -143,7 +144,7 @@
 		}
 	}
 	if t := item.GetTarget(); t != nil {
-		address, err := netip.ParseAddrPort(t.GetAddress())
+		address, err := router.ParseAddress(t.GetAddress())
 		if err != nil {
 			return change
 		}
--- /dev/null
+++ b/internal/follower/exchange_test.go
@@ -0,0 +1,89 @@
+package follower
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"kingcupvalve.example/kingcupvalve/internal/messenger"
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/wirepb"
+)
+
+func startMessenger(t *testing.T) *messenger.Messenger {
+	t.Helper()
+	m, err := messenger.NewMessenger(messenger.Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), IsPlain: true, Logger: zerolog.Nop(),
+		Hello: func() *wirepb.Hello { return &wirepb.Hello{Process: "test"} },
+	})
+	is.New(t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- m.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		is.New(t).NoErr(<-done)
+	})
+	return m
+}
+
+// TestExchange guards against a process that keeps a target which left before the
+// restart of the peer that it fetches changes from.
+func TestExchange(t *testing.T) {
+	is := is.New(t)
+	entry := registrar.Change{Key: "t/a", Revision: 5, Target: &router.Target{
+		ID: "a", Service: "feeds", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2, Revision: 5, State: router.Draining,
+	}}
+	config := registrar.Change{Key: "config", Revision: 3, Config: &router.Config{
+		Version: 2, Services: []string{"feeds"}, IdleTimeout: time.Second,
+		Routes: []router.Route{{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []router.Share{{Service: "feeds", Weight: 7}}}},
+	}}
+	sent := Batch{Revision: 9, IsSnapshot: true, ConfirmedAt: time.Now().Add(-time.Minute), Changes: []registrar.Change{config, entry, {Key: "t/b", Revision: 4}}}
+	server, client := startMessenger(t), startMessenger(t)
+	server.Handle(messenger.LaneControl, func(_ context.Context, s *messenger.Stream) {
+		if _, err := s.Receive(); err == nil {
+			_ = sendBatch(s, sent)
+		}
+	})
+	got, err := FetchChanges(t.Context(), client, server.Address(), 4)
+	is.NoErr(err)
+	is.True(got.IsSnapshot)
+	is.Equal(got.Revision, sent.Revision)
+	is.Equal(got.Changes, sent.Changes)
+	is.True(got.ConfirmedAt.Before(time.Now().Add(-time.Minute / 2)))
+}
+
+// FuzzDecodeItem guards against an item of a peer that ends the process.
+func FuzzDecodeItem(f *testing.F) {
+	for _, item := range []*wirepb.TableItem{
+		{},
+		{Key: "t/a", Revision: ^uint64(0), Target: &wirepb.TargetEntry{Id: "a", Service: "feeds", Address: "[::1]:80", Slots: ^uint32(0)}},
+		{Key: "config", Config: &wirepb.RoutingConfig{Version: ^uint64(0), IdleTimeoutMs: ^uint32(0), Services: []string{"", "feeds"}, Routes: []*wirepb.RouteEntry{{Address: "198.18.0.1:443", Shares: []*wirepb.RouteShare{{Service: "feeds"}}}}}},
+	} {
+		b, err := proto.Marshal(item)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var item wirepb.TableItem
+		if proto.Unmarshal(b, &item) != nil {
+			return
+		}
+		c := decodeItem(&item)
+		r := registrar.NewRegistrar()
+		r.Merge([]registrar.Change{c}, c.Revision, time.Now())
+		r.BuildTable(time.Now()).VisitTargets(func(_ uint32, target *router.Target) {
+			if !target.Address.Addr().Is4() {
+				t.Fatalf("target with address %s", target.Address)
+			}
+		})
+	})
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -151,8 +151,8 @@
 // did not count, such as a suspension of the machine.
 func (f *Follower) AddTableAge(d time.Duration) { f.confirmedAt.Add(-int64(d)) }
 
-// Changes returns the changes after a revision, or false if the context ends
-// first.
+// Changes returns the changes after a revision, or all items if some removals
+// after it are not known. It returns false if the context ends first.
 func (f *Follower) Changes(ctx context.Context, after uint64) (Batch, bool) {
 	r := request{after: after, reply: make(chan Batch, 1)}
 	select {
@@ -177,7 +177,8 @@
 		case r := <-f.results:
 			f.applyResult(r, time.Now())
 		case r := <-f.requests:
-			r.reply <- Batch{Changes: f.registrar.Changes(r.after), Revision: f.registrar.Revision(), ConfirmedAt: f.confirmedTime()}
+			changes, isSnapshot := f.registrar.Changes(r.after)
+			r.reply <- Batch{Changes: changes, Revision: f.registrar.Revision(), IsSnapshot: isSnapshot, ConfirmedAt: f.confirmedTime()}
 		case now := <-ticker.C:
 			f.tick(ctx, now)
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,7 +5,9 @@
 // Every item carries the revision of its last change, and the higher revision
 // wins. An older state therefore never replaces a newer one, and the result
 // depends neither on the order nor on the source of the items. A removed item is
-// kept as a tombstone with the revision of its removal.
+// kept as a tombstone with the revision of its removal. A process that asks for
+// changes since before the oldest tombstone gets all items instead, because it
+// would otherwise keep the items whose removal is not known here.
 //
 // A target whose entry disappears without a drain may still be running: entries
 // can be lost while the platform is unavailable. The target keeps getting new
@@ -70,6 +72,8 @@
 	records  map[string]*record
 	config   router.Config
 	revision uint64
+	// oldestBase is the lowest revision since which every removal is known.
+	oldestBase uint64
 }
 
 // NewRegistrar returns a registrar without items.
@@ -106,6 +110,7 @@
 			all = append(all, Change{Key: key, Revision: revision})
 		}
 	}
+	r.oldestBase = max(r.oldestBase, revision)
 	return r.Merge(all, revision, now)
 }
 
@@ -150,21 +155,24 @@
 			changed = changed || known.lastTarget != nil && before.Before(end) && !now.Before(end)
 		}
 		if now.Sub(known.removedAt) > tombstoneRetention {
+			r.oldestBase = max(r.oldestBase, known.change.Revision)
 			delete(r.records, key)
 		}
 	}
 	return changed
 }
 
-// Changes returns the items that changed after a revision, sorted by key.
-func (r *Registrar) Changes(after uint64) []Change {
-	var changes []Change
+// Changes returns the items that changed after a revision, sorted by key. If a
+// removal after that revision may be unknown, it returns all items instead, and
+// true, for MergeSnapshot.
+func (r *Registrar) Changes(after uint64) (changes []Change, isSnapshot bool) {
+	isSnapshot = after < r.oldestBase
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
-		if c := r.records[key].change; c.Revision > after {
+		if c := r.records[key].change; c.Revision > after || isSnapshot {
 			changes = append(changes, c)
 		}
 	}
-	return changes
+	return changes, isSnapshot
 }
 
 // BuildTable builds the routing table as of now. It ignores entries of services
--- /dev/null
+++ b/internal/registrar/restart_test.go
@@ -0,0 +1,124 @@
+package registrar
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
+
+// store is a model of the platform's store with its whole history.
+type store struct {
+	revision uint64
+	history  []Change
+}
+
+func (s *store) write(c Change) {
+	s.revision++
+	c.Revision = s.revision
+	if c.Target != nil {
+		c.Target.Revision = s.revision
+	}
+	s.history = append(s.history, c)
+}
+
+// itemsAt returns the items that are present as of a revision, by key.
+func (s *store) itemsAt(revision uint64) map[string]Change {
+	items := map[string]Change{}
+	for _, c := range s.history {
+		if c.Revision > revision {
+			break
+		}
+		if c.IsGone() {
+			delete(items, c.Key)
+		} else {
+			items[c.Key] = c
+		}
+	}
+	return items
+}
+
+// TestRestarts guards against a target that has left and is used again after a
+// process restarts: the restarted process does not know of removals before its
+// first read, and must not hide them from a process with an older table.
+func TestRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{}
+		s.write(config(1, 1))
+		now := start
+		processes := make([]*Registrar, rapid.IntRange(2, 4).Draw(t, "processes"))
+		for i := range processes {
+			processes[i] = NewRegistrar()
+		}
+		pick := func(name string) int { return rapid.IntRange(0, len(processes)-1).Draw(t, name) }
+		readAll := func(r *Registrar) {
+			r.MergeSnapshot(slices.Collect(maps.Values(s.itemsAt(s.revision))), s.revision, now)
+		}
+		check := func(r *Registrar) {
+			if !r.HasConfig() {
+				return
+			}
+			want := map[string]bool{}
+			for _, c := range s.itemsAt(r.Revision()) {
+				if c.Target != nil {
+					want[c.Target.ID] = true
+				}
+			}
+			got := map[string]bool{}
+			r.BuildTable(now).VisitTargets(func(_ uint32, target *router.Target) {
+				if target.State == router.Serving {
+					got[target.ID] = true
+				}
+			})
+			if !maps.Equal(got, want) {
+				t.Fatalf("serving targets at revision %d: got %v, want %v", r.Revision(), got, want)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				id := rapid.IntRange(0, 3).Draw(t, "id")
+				if rapid.Bool().Draw(t, "gone") {
+					s.write(gone(fmt.Sprint(id), 0))
+				} else {
+					s.write(target(fmt.Sprint(id), id+1, 0))
+				}
+			},
+			"read all": func(*rapid.T) { readAll(processes[pick("process")]) },
+			"watch": func(*rapid.T) {
+				if r := processes[pick("process")]; r.HasConfig() {
+					r.Merge(s.history[r.Revision():], s.revision, now)
+				}
+			},
+			"fetch from a peer": func(*rapid.T) {
+				to, from := processes[pick("to")], processes[pick("from")]
+				if from.Revision() <= to.Revision() {
+					return
+				}
+				changes, isSnapshot := from.Changes(to.Revision())
+				if isSnapshot {
+					to.MergeSnapshot(changes, from.Revision(), now)
+				} else {
+					to.Merge(changes, from.Revision(), now)
+				}
+			},
+			"restart": func(*rapid.T) { processes[pick("process")] = NewRegistrar() },
+			"pass time": func(*rapid.T) {
+				before := now
+				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "seconds")) * time.Second)
+				for _, r := range processes {
+					r.Expire(before, now)
+				}
+			},
+			"": func(*rapid.T) {
+				for _, r := range processes {
+					check(r)
+				}
+			},
+		})
+	})
+}
