Believe beacons and hints only from the agents that the table lists

Cause: signals are not authenticated. A beacon from any address could set the load and the state of a target, keep a dead agent up, confirm a table as current or make a process fetch a table from its sender; 10,000 senders filled the memory for 10 s.

Change: what a signal says about a target counts only from the address of the target's agent in the table; tables are confirmed by and fetched from listed agents and seeds only, once a table is known; peers that the table does not list are bounded.

--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
@@ -52,9 +53,19 @@
 	}, ok
 }
 
+// followerPeers returns the processes whose tables this process may take over:
+// the agents that its table lists and the seeds. Beacons are not authenticated, so
+// those of other senders are no proof. A process without a table knows no agents
+// yet and asks any sender.
 func (r *Runner) followerPeers() []follower.Peer {
 	var peers []follower.Peer
+	hosts, seeds := r.listedHosts.Load(), r.seeds()
 	for _, p := range r.signaller.Peers() {
+		if hosts != nil && len(*hosts) > 0 && !slices.Contains(seeds, p.Address) {
+			if _, isListed := (*hosts)[p.Address]; !isListed {
+				continue
+			}
+		}
 		peers = append(peers, follower.Peer{Address: p.Address, Revision: p.Revision, ConfirmedAt: p.ConfirmedAt})
 	}
 	return peers
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -85,6 +85,8 @@
 	// pendingAgents passes the agents of a new table to tick, whose goroutine sets
 	// the signaller's agents.
 	pendingAgents atomic.Pointer[map[uint32]netip.Addr]
+	// listedHosts has the hosts of the targets in the table.
+	listedHosts atomic.Pointer[map[netip.Addr]struct{}]
 	// silentSince and isSuspect are used by the goroutine of tick only.
 	silentSince time.Time
 	isSuspect   bool
@@ -274,14 +276,16 @@
 // handleTable updates the set of agents and the number of the agent's own target
 // from a new table.
 func (r *Runner) handleTable(t *router.Table) {
-	agents := make(map[uint32]netip.Addr)
+	agents, hosts := make(map[uint32]netip.Addr), make(map[netip.Addr]struct{})
 	own := r.settings.ControlAddress().Addr()
 	t.VisitTargets(func(n uint32, target *router.Target) {
 		if target.Address.Addr() != own {
 			agents[n] = target.Address.Addr()
+			hosts[target.Address.Addr()] = struct{}{}
 		}
 	})
 	r.pendingAgents.Store(&agents)
+	r.listedHosts.Store(&hosts)
 	if r.deliverer != nil {
 		n, _, _ := t.FindTargetAt(r.settings.Packets().BackendAddress())
 		r.ownTarget.Store(n)
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -40,27 +40,46 @@
 }
 
 func (s *Signaller) handle(signal *wirepb.Signal, from netip.Addr, now time.Time) {
-	if hint := signal.GetFlowHint(); hint != nil && s.options.HandleHint != nil {
+	if hint := signal.GetFlowHint(); hint != nil && s.options.HandleHint != nil && s.isAgentOf(hint.GetTarget(), from) {
 		s.options.HandleHint(hint.GetFlow(), hint.GetTarget())
 	}
 	beacon := signal.GetBeacon()
 	if beacon == nil {
 		return
 	}
-	s.detector.RecordReceived(beacon.GetTarget(), now)
+	if s.isAgentOf(beacon.GetTarget(), from) {
+		s.detector.RecordReceived(beacon.GetTarget(), now)
+	}
 	peer := Peer{
 		Address: from, Process: beacon.GetProcess(), Incarnation: beacon.GetIncarnation(), Target: beacon.GetTarget(), Revision: beacon.GetRevision(),
 		ConfirmedAt: now.Add(-time.Duration(beacon.GetConfirmedAgeMs()) * time.Millisecond),
 		Running:     int(beacon.GetRunning()), Slots: int(beacon.GetSlots()), Flows: int(beacon.GetFlows()), IsLeaving: beacon.GetLeaving(),
 		IsSilent: beacon.GetSilent(), IsSuspect: beacon.GetSuspect(), HeardAt: now,
 	}
-	s.lock.Lock()
-	s.peers[from] = peer
-	if peer.Target != 0 {
-		s.targets[peer.Target] = peer
+	if !s.keepPeer(peer) {
+		peersRefused.Inc()
+		return
 	}
-	s.lock.Unlock()
 	if beacon.GetAnswerWanted() {
 		s.send(s.encodeBeacon(now, false), from)
 	}
 }
+
+// isAgentOf reports whether the table lists an address for the agent of a target.
+func (s *Signaller) isAgentOf(target uint32, from netip.Addr) bool {
+	s.lock.RLock()
+	defer s.lock.RUnlock()
+	address, ok := s.agents[target]
+	return ok && address == from
+}
+
+// keepPeer stores the state of a peer, and reports false if there are too many.
+func (s *Signaller) keepPeer(p Peer) bool {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if _, isKnown := s.peers[p.Address]; !isKnown && s.agents[p.Target] != p.Address && len(s.peers) >= len(s.agents)+maxUnlistedPeers {
+		return false
+	}
+	s.peers[p.Address] = p
+	return true
+}
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -7,6 +7,10 @@
 // one in return, so that agents learn of balancers and of each other. A lost
 // datagram or a restart delays this by one beacon interval.
 //
+// Signals are not authenticated. What a beacon or a hint says about a target is
+// believed only if it comes from the address that the table lists for the target's
+// agent.
+//
 // # Usage
 //
 //	s, err := signaller.NewSignaller(ctx, signaller.Options{Address: address, BuildBeacon: build})
@@ -45,13 +49,19 @@
 	probeInterval   = 100 * time.Millisecond
 	probeLimit      = 3
 	downInterval    = 500 * time.Millisecond
+	// maxUnlistedPeers bounds the memory for processes that the table does not
+	// list: balancers, and senders of forged beacons. A peer takes about 200 bytes.
+	maxUnlistedPeers = 4096
 	// peerTimeout is the time without a beacon after which a process is removed.
 	peerTimeout = 10 * time.Second
 	// maxDatagramBytes exceeds the size of every signal.
 	maxDatagramBytes = 1500
 )
 
-var agentsLost = metrics.GetOrCreateCounter("kingcupvalve_signaller_agents_lost_total")
+var (
+	agentsLost   = metrics.GetOrCreateCounter("kingcupvalve_signaller_agents_lost_total")
+	peersRefused = metrics.GetOrCreateCounter("kingcupvalve_signaller_peers_refused_total")
+)
 
 // Options configures a Signaller.
 type Options struct {
@@ -88,7 +98,9 @@
 	options  Options
 	conn     *net.UDPConn
 	detector *detector.Detector
-	agents   map[uint32]netip.Addr
+	// agents has the addresses of the agents by target. The goroutine of Tick
+	// replaces the map under the lock.
+	agents map[uint32]netip.Addr
 	// order lists the agents in the order in which they get beacons; cursor is the
 	// index of the last one that was due.
 	order  []uint32
@@ -99,7 +111,6 @@
 	lastSent  time.Time
 	lock      sync.RWMutex
 	peers     map[netip.Addr]Peer
-	targets   map[uint32]Peer
 }
 
 // NewSignaller binds the UDP socket. It fails if the address can't be bound.
@@ -115,7 +126,7 @@
 			Epoch: time.Now(), UnansweredAfter: unansweredAfter, ProbeInterval: probeInterval, ProbeLimit: probeLimit,
 			DownInterval: downInterval,
 		}),
-		downSince: make(map[uint32]time.Time), peers: make(map[netip.Addr]Peer), targets: make(map[uint32]Peer),
+		downSince: make(map[uint32]time.Time), peers: make(map[netip.Addr]Peer),
 	}, nil
 }
 
@@ -130,7 +141,10 @@
 		numbers = append(numbers, n)
 	}
 	slices.Sort(numbers)
-	s.agents, s.order = agents, numbers
+	s.lock.Lock()
+	s.agents = agents
+	s.lock.Unlock()
+	s.order = numbers
 	s.detector.SetTargets(numbers)
 }
 
@@ -152,8 +166,12 @@
 func (s *Signaller) PeerOfTarget(number uint32) (Peer, bool) {
 	s.lock.RLock()
 	defer s.lock.RUnlock()
-	p, ok := s.targets[number]
-	return p, ok
+	address, isListed := s.agents[number]
+	p, ok := s.peers[address]
+	if !isListed || !ok || p.Target != number {
+		return Peer{}, false
+	}
+	return p, true
 }
 
 // Peers returns the last beacons of all processes, in no particular order.
@@ -233,7 +251,6 @@
 	for address, p := range s.peers {
 		if now.Sub(p.HeardAt) > peerTimeout {
 			delete(s.peers, address)
-			delete(s.targets, p.Target)
 		}
 	}
 }
--- a/internal/signaller/signaller_test.go
+++ b/internal/signaller/signaller_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
@@ -53,6 +54,7 @@
 	t.Run("a beacon reports the load and the age of the table", func(t *testing.T) {
 		is := is.New(t)
 		s := newSignaller(t, nil)
+		s.SetAgents(map[uint32]netip.Addr{1: unusedAddress})
 		now := time.Now()
 		s.handle(beacon(&wirepb.Beacon{Target: 1, Running: 3, Slots: 4, Revision: 9, ConfirmedAgeMs: 200, Suspect: true}), unusedAddress, now)
 		p, ok := s.PeerOfTarget(1)
@@ -91,7 +93,90 @@
 		is := is.New(t)
 		var got []uint64
 		s := newSignaller(t, func(flow uint64, target uint32) { got = append(got, flow, uint64(target)) })
+		s.SetAgents(map[uint32]netip.Addr{6: unusedAddress})
 		s.handle(&wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: 5, Target: 6}}}, unusedAddress, time.Now())
 		is.Equal(got, []uint64{5, 6})
 	})
 }
+
+// TestForgedSignals guards against a sender that the table does not list and that
+// makes processes believe a target's load, an agent's liveness or the place of a
+// flow, or that fills the memory.
+func TestForgedSignals(t *testing.T) {
+	other := netip.MustParseAddr("127.0.31.10")
+	t.Run("the state of a target comes from its own agent only", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		s.SetAgents(map[uint32]netip.Addr{1: unusedAddress, 2: other})
+		s.handle(beacon(&wirepb.Beacon{Target: 1, Running: 1}), unusedAddress, time.Now())
+		s.handle(beacon(&wirepb.Beacon{Target: 1, Running: 9, Leaving: true, Silent: true}), other, time.Now())
+		p, ok := s.PeerOfTarget(1)
+		is.True(ok)
+		is.Equal(p.Running, 1)
+		is.True(!p.IsLeaving && !p.IsSilent)
+		_, ok = s.PeerOfTarget(2)
+		is.True(!ok)
+	})
+	t.Run("an agent that is down stays down", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		s.SetAgents(map[uint32]netip.Addr{1: unusedAddress})
+		now := advance(s, time.Now(), time.Second)
+		s.handle(beacon(&wirepb.Beacon{Target: 1}), other, now)
+		is.True(s.IsDown(1))
+	})
+	t.Run("a hint comes from the agent of its target only", func(t *testing.T) {
+		is := is.New(t)
+		hints := 0
+		s := newSignaller(t, func(uint64, uint32) { hints++ })
+		s.SetAgents(map[uint32]netip.Addr{6: unusedAddress})
+		hint := &wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: 5, Target: 6}}}
+		s.handle(hint, other, time.Now())
+		s.handle(&wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: 5, Target: 7}}}, unusedAddress, time.Now())
+		is.Equal(hints, 0)
+		s.handle(hint, unusedAddress, time.Now())
+		is.Equal(hints, 1)
+	})
+	t.Run("10,000 senders leave the memory bounded and listed agents known", func(t *testing.T) {
+		is := is.New(t)
+		s := newSignaller(t, nil)
+		s.SetAgents(map[uint32]netip.Addr{1: unusedAddress})
+		for n := range 10_000 {
+			s.handle(beacon(&wirepb.Beacon{Target: 1}), netip.AddrFrom4([4]byte{10, 9, byte(n >> 8), byte(n)}), time.Now())
+		}
+		s.handle(beacon(&wirepb.Beacon{Target: 1}), unusedAddress, time.Now())
+		is.True(len(s.Peers()) <= maxUnlistedPeers+2)
+		_, ok := s.PeerOfTarget(1)
+		is.True(ok)
+	})
+}
+
+// FuzzReceive guards against a datagram that ends the process.
+func FuzzReceive(f *testing.F) {
+	for _, signal := range []*wirepb.Signal{
+		beacon(&wirepb.Beacon{Target: 1, Revision: ^uint64(0), ConfirmedAgeMs: ^uint32(0), Running: ^uint32(0), AnswerWanted: true}),
+		{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: 5, Target: 6}}},
+		{},
+	} {
+		b, err := proto.Marshal(signal)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	s, err := NewSignaller(f.Context(), Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Logger: zerolog.Nop(), HandleHint: func(uint64, uint32) {},
+		BuildBeacon: func(time.Time) *wirepb.Beacon { return &wirepb.Beacon{} },
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { _ = s.Close() })
+	s.SetAgents(map[uint32]netip.Addr{1: unusedAddress})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var signal wirepb.Signal
+		if proto.Unmarshal(b, &signal) == nil {
+			s.handle(&signal, unusedAddress, time.Now())
+		}
+	})
+}
