Handle the packets that have arrived before a planned stop ends

Cause: at the end of a graceful shutdown the sockets of packet flows were closed while the kernel still held received packets; opening packets that had just arrived were lost without an answer (failure: requests that had just been accepted were cut off during a planned stop).

Change: the data path stops reading, handles what has arrived and then closes its sockets, in that order.

--- a/internal/batcher/batcher_test.go
+++ b/internal/batcher/batcher_test.go
@@ -178,3 +178,20 @@
 	is.NoErr(to.Close())
 	is.NoErr(<-done)
 }
+
+// TestStopReading guards against datagrams that have arrived before a planned stop
+// and are lost with the socket.
+func TestStopReading(t *testing.T) {
+	is := is.New(t)
+	const count = 500
+	from, to := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
+	w, destination := NewWriter(count), NewSockaddr(to.LocalAddrPort())
+	for range count {
+		w.Add([]byte("x"), &destination)
+	}
+	assertFlush(is, w, from, 0)
+	is.NoErr(to.StopReading())
+	handled := 0
+	is.NoErr(to.Serve(to, zerolog.Nop(), func() {}, func([]byte, *Writer, time.Time) { handled++ }))
+	is.Equal(handled, count)
+}
--- a/internal/batcher/conn.go
+++ b/internal/batcher/conn.go
@@ -77,6 +77,10 @@
 	return failure
 }
 
+// StopReading makes Read fail with an error that wraps os.ErrDeadlineExceeded. The
+// socket can still be written to.
+func (c *Conn) StopReading() error { return c.SetReadDeadline(time.Unix(1, 0)) }
+
 // LocalAddrPort returns the bound address.
 func (c *Conn) LocalAddrPort() netip.AddrPort { return c.local }
 
@@ -123,6 +127,18 @@
 	}
 }
 
+// ReadAvailable returns a batch of datagrams that have arrived, or false if there
+// are none or the socket is closed. Unlike Read it also works after StopReading.
+func (r *Reader) ReadAvailable() (*Batch, bool) {
+	r.batch = nil
+	if err := r.conn.raw.Control(func(fd uintptr) { r.receiveBatch(fd) }); err != nil {
+		return nil, false
+	}
+	b := r.batch
+	r.batch = nil
+	return b, b != nil
+}
+
 // isUnusableSocket reports whether an error shows that the descriptor or the
 // arguments of the system call are wrong, so that a repetition fails too.
 func isUnusableSocket(errno syscall.Errno) bool {
--- a/internal/batcher/serve.go
+++ b/internal/batcher/serve.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -16,10 +17,14 @@
 	serveBatchSize = 32
 	// serveDatagramSize is the largest datagram that Serve reads, in bytes.
 	serveDatagramSize = 2048
+	// maxFinalBatches bounds the batches that Serve handles after StopReading. They
+	// hold more datagrams than a receive buffer.
+	maxFinalBatches = 4096
 )
 
 // Serve reads datagrams until the socket is closed and calls handle for each of
-// them. Datagrams that handle adds to the writer, at most one per call, are sent
+// them. After StopReading it handles the datagrams that have arrived and returns.
+// Datagrams that handle adds to the writer, at most one per call, are sent
 // through the socket out; their bytes must stay unchanged until the next call of
 // begin, which is called before each batch. A datagram whose handling panics is
 // dropped.
@@ -27,14 +32,7 @@
 	pool := NewPool(serveBatchSize, serveDatagramSize, 0)
 	reader := c.NewReader(pool)
 	messages := recoverer.NewRecoverer(log, "packet")
-	for {
-		batch, err := reader.Read()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return merry.Prepend(err, "read datagrams")
-		}
+	handleBatch := func(batch *Batch) {
 		begin()
 		now, writer := time.Now(), batch.Writer()
 		for i := range batch.Len() {
@@ -45,4 +43,23 @@
 		}
 		pool.Put(batch)
 	}
+	for {
+		batch, err := reader.Read()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			for range maxFinalBatches {
+				batch, ok := reader.ReadAvailable()
+				if !ok {
+					break
+				}
+				handleBatch(batch)
+			}
+			return nil
+		case err != nil:
+			return merry.Prepend(err, "read datagrams")
+		}
+		handleBatch(batch)
+	}
 }
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -102,10 +102,15 @@
 // on.
 func (d *Deliverer) RefuseNewFlows() { d.isStopping.Store(true) }
 
-// Close closes the sockets, which ends Run.
+// Stop ends Run after the packets that have arrived are handled.
+func (d *Deliverer) Stop() error {
+	return errors.Join(d.conn.StopReading(), d.outbound.StopReading())
+}
+
+// Close closes the sockets, which ends Run at once.
 func (d *Deliverer) Close() error { return errors.Join(d.conn.Close(), d.outbound.Close()) }
 
-// Run handles packets in both directions until Close is called.
+// Run handles packets in both directions until Stop or Close is called.
 func (d *Deliverer) Run() error {
 	var group errgroup.Group
 	group.Go(func() error { return d.conn.Serve(d.conn, d.options.Logger, func() {}, d.deliver) })
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,7 +93,10 @@
 	return &Forwarder{options: options, conn: conn, hints: hints}, nil
 }
 
-// Close closes the socket, which ends Run.
+// Stop ends Run after the packets that have arrived are forwarded.
+func (f *Forwarder) Stop() error { return f.conn.StopReading() }
+
+// Close closes the socket, which ends Run at once.
 func (f *Forwarder) Close() error { return f.conn.Close() }
 
 // hint is the target that holds a flow or that its opening packet was sent to.
@@ -118,7 +121,7 @@
 	return now.Sub(time.Unix(0, f.lastReceived.Load()))
 }
 
-// Run forwards packets until Close is called.
+// Run forwards packets until Stop or Close is called.
 func (f *Forwarder) Run() error {
 	return f.conn.Serve(f.conn, f.options.Logger, func() {
 		f.lastReceived.Store(time.Now().UnixNano())
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -194,15 +194,20 @@
 		r.tick(ctx)
 		return nil
 	})
-	if r.forwarder != nil {
-		group.Go(r.forwarder.Run)
-	} else {
-		group.Go(r.deliverer.Run)
-	}
+	packetsDone := make(chan struct{})
+	group.Go(func() error {
+		defer close(packetsDone)
+		if r.forwarder != nil {
+			return r.forwarder.Run()
+		}
+		return r.deliverer.Run()
+	})
 	group.Go(func() error {
 		defer cancel()
 		r.awaitStop(ctx)
-		return r.close()
+		err := r.stopPackets()
+		<-packetsDone
+		return errors.Join(err, r.close())
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -210,6 +215,14 @@
 	return nil
 }
 
+// stopPackets ends the data path after the packets that have arrived are handled.
+func (r *Runner) stopPackets() error {
+	if r.forwarder != nil {
+		return r.forwarder.Stop()
+	}
+	return r.deliverer.Stop()
+}
+
 func (r *Runner) close() error {
 	err := r.signaller.Close()
 	if r.forwarder != nil {
