Move the decisions about packets into package placer

Cause: where a packet goes was decided inside forwarder and deliverer, which bind sockets, so that the decisions could not be played in virtual time.

Change: placer.Balancer and placer.Agent hold these decisions; forwarder and deliverer carry them out. Behaviour is the same; the tests move with the code and keep their assertions.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -1,7 +1,7 @@
 // Package deliverer is the data path of an agent for packet flows: it delivers
 // callers' packets to the target on its host, sends the target's packets
-// directly to the callers, and forwards packets that its target can't or
-// shouldn't accept to the next target of their search.
+// directly to the callers, and passes packets on that the target does not get.
+// Package placer decides which these are.
 //
 // # Usage
 //
@@ -13,7 +13,6 @@
 	"context"
 	"errors"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,15 +23,12 @@
 	"kingcupvalve.example/kingcupvalve/internal/batcher"
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/placer"
 	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
 
-// maxHops bounds the forwarding of a packet between agents. Routing tables that
-// change during a search can cause a loop.
-const maxHops = 250
-
 var (
 	delivered  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
 	answered   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
@@ -78,10 +74,10 @@
 
 // Deliverer moves packets between balancers, agents, callers and one target.
 type Deliverer struct {
-	options    Options
-	conn       *batcher.Conn
-	outbound   *batcher.Conn
-	isStopping atomic.Bool
+	options  Options
+	conn     *batcher.Conn
+	outbound *batcher.Conn
+	placer   *placer.Agent
 }
 
 // NewDeliverer binds the UDP sockets. It fails if an address can't be bound.
@@ -95,12 +91,14 @@
 		_ = conn.Close()
 		return nil, merry.Prepend(err, "start deliverer")
 	}
-	return &Deliverer{options: options, conn: conn, outbound: outbound}, nil
+	return &Deliverer{options: options, conn: conn, outbound: outbound, placer: placer.NewAgent(placer.AgentOptions{
+		Backend: options.Backend, Service: options.Service, Chooser: options.Chooser, Tracker: options.Tracker,
+	})}, nil
 }
 
 // RefuseNewFlows makes the deliverer forward new flows to other targets from now
 // on.
-func (d *Deliverer) RefuseNewFlows() { d.isStopping.Store(true) }
+func (d *Deliverer) RefuseNewFlows() { d.placer.RefuseNewFlows() }
 
 // Stop ends Run after the packets that have arrived are handled.
 func (d *Deliverer) Stop() error {
@@ -118,16 +116,6 @@
 	return group.Wait()
 }
 
-// ownTarget returns the entry of the agent's target in a table, or false if the
-// table has none for its address and service.
-func (d *Deliverer) ownTarget(table *router.Table) (uint32, *router.Target, bool) {
-	number, target, ok := table.FindTargetAt(d.options.Backend)
-	if !ok || target.Service != d.options.Service {
-		return 0, nil, false
-	}
-	return number, target, true
-}
-
 // deliver handles a caller's packet that a balancer or another agent sent.
 func (d *Deliverer) deliver(datagram []byte, writer *batcher.Writer, now time.Time) {
 	p, ok := d.options.Codec.Decode(datagram)
@@ -141,8 +129,8 @@
 		unrouted.Inc()
 		return
 	}
-	if !route.Allows(d.options.Service) || p.SYN && !d.acceptsNewFlow(table, route, p, now) {
-		d.forwardToNext(table, route, p, datagram, writer, now)
+	if decision := d.placer.Decide(table, route, p, d.options.TableAge(now), now); decision.Action != placer.Deliver {
+		d.act(decision, table, p, datagram, writer, now)
 		return
 	}
 	if p.SYN {
@@ -163,37 +151,6 @@
 		Dur("table_age_ms", d.options.TableAge(now)).Msg("flow placed")
 }
 
-// acceptsNewFlow decides whether the agent's target gets a new flow. The agent
-// knows the load of its target better than the process that sent the packet.
-func (d *Deliverer) acceptsNewFlow(table *router.Table, route *router.Route, p framer.Packet, now time.Time) bool {
-	key := p.Key()
-	if d.options.Tracker.HoldsFlow(key, p.Sequence) {
-		return true
-	}
-	_, target, ok := d.ownTarget(table)
-	if d.isStopping.Load() || ok && (target.State == router.Draining || target.State == router.Gone) {
-		return false
-	}
-	if route.SelectService(key) != d.options.Service {
-		return false
-	}
-	if !ok {
-		// If a current table lacks this target, or lists another service at its
-		// address, the sender's table is out of date. A table that is itself out of
-		// date proves nothing, so the flow is accepted.
-		return d.options.TableAge(now) >= router.MaxConclusiveAge
-	}
-	load := d.options.Tracker.Load(now)
-	if load.IsSilent {
-		return d.options.Tracker.TryProbe(now)
-	}
-	report := chooser.Report{Running: load.Running, Slots: target.Slots, IsSuspect: load.IsSuspect}
-	if p.Mark.Pass().IsSecond() {
-		return report.HasQueueRoom(p.AckNumber > 0)
-	}
-	return report.HasFreeSlot()
-}
-
 // forwardToCaller sends a packet of the target to its caller, or continues the
 // search if the target returned the packet.
 func (d *Deliverer) forwardToCaller(datagram []byte, writer *batcher.Writer, now time.Time) {
@@ -208,7 +165,7 @@
 	}
 	key := p.ReverseKey()
 	if via, ok := d.options.Tracker.ObserveTargetPacket(key, p, now); ok {
-		if number, _, ok := d.ownTarget(d.options.Table()); ok {
+		if number, _, ok := d.placer.FindOwnTarget(d.options.Table()); ok {
 			d.options.SendHint(via, key, number)
 		}
 	}
@@ -229,39 +186,29 @@
 		unrouted.Inc()
 		return
 	}
-	d.forwardToNext(table, route, p, datagram, writer, now)
+	d.act(d.placer.PassOn(table, route, p, d.options.TableAge(now)), table, p, datagram, writer, now)
 }
 
-// forwardToNext sends a packet to the next target of its search.
-func (d *Deliverer) forwardToNext(table *router.Table, route *router.Route, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
-	accept := d.options.Chooser.AcceptOpenFlow()
-	key := p.Key()
-	if p.SYN {
-		accept = d.options.Chooser.AcceptNewFlow(route.SelectService(key))
-	}
-	own, _, _ := d.ownTarget(table)
-	others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != own && accept(n, t, pass) }
-	hop, ok := table.FindNextHop(route, key, p.Mark, others)
-	if !ok || p.Mark.Hops >= maxHops {
-		d.endSearch(table, p, datagram, writer, now)
+// act carries out a decision about a packet that the agent's target does not get.
+func (d *Deliverer) act(decision placer.Decision, table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
+	if decision.Action != placer.PassOn {
+		d.endSearch(decision, table, p, datagram, writer, now)
 		return
 	}
-	hop.Mark.Hops++
-	d.options.Codec.Mark(datagram, hop.Mark)
-	to := batcher.NewSockaddr(netip.AddrPortFrom(hop.Target.Address.Addr(), d.options.Address.Port()))
+	d.options.Codec.Mark(datagram, decision.Hop.Mark)
+	to := batcher.NewSockaddr(netip.AddrPortFrom(decision.Hop.Target.Address.Addr(), d.options.Address.Port()))
 	writer.Add(datagram, &to)
 	passedOn.Inc()
 }
 
-// endSearch drops a packet whose search has visited every target or reached
-// maxHops. It resets the flow if a current table proves that no target holds it.
-func (d *Deliverer) endSearch(table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
+// endSearch drops a packet for which no target is left, and resets its flow if
+// the decision says so.
+func (d *Deliverer) endSearch(decision placer.Decision, table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
 	exhausted.Inc()
-	age := d.options.TableAge(now)
-	needsReset := !p.SYN && !p.RST && p.Mark.Hops < maxHops && age < router.MaxConclusiveAge
+	needsReset := decision.Action == placer.Reset
 	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.SYN).
-		Bool("reset", needsReset).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).Dur("table_age_ms", age).
-		Msg("no target left for packet")
+		Bool("reset", needsReset).Uint8("hops", p.Mark.Hops).Uint64("version", table.Version()).
+		Dur("table_age_ms", d.options.TableAge(now)).Msg("no target left for packet")
 	if p.SYN {
 		d.options.Record(d.options.Service, recorder.OutcomeRefused, now)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -1,10 +1,6 @@
 // Package forwarder is the data path of a balancer for packet flows: it
-// receives callers' packets and forwards each to the agent of a target.
-//
-// It caches the target of each flow as a hint, so that most packets need no
-// search of the routing table. A hint may be evicted or out of date; an agent
-// whose target does not hold the flow searches again from the flow's first
-// target.
+// receives callers' packets and forwards each to the agent of the target that
+// package placer chooses.
 //
 // # Usage
 //
@@ -14,25 +10,23 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
-	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/rs/zerolog"
 
 	"kingcupvalve.example/kingcupvalve/internal/batcher"
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/placer"
 	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
-// maxHints is the capacity of the hint cache; an entry takes about 100 bytes.
-const maxHints = 65_536
-
 var (
 	forwarded  = metrics.GetOrCreateCounter("kingcupvalve_steerer_packets_forwarded_total")
 	opened     = metrics.GetOrCreateCounter("kingcupvalve_steerer_flows_opened_total")
@@ -71,7 +65,7 @@
 type Forwarder struct {
 	options Options
 	conn    *batcher.Conn
-	hints   *lru.Cache[uint64, hint]
+	placer  *placer.Balancer
 	// lastReceived is the time of the last received batch, in ns since the Unix
 	// epoch.
 	lastReceived atomic.Int64
@@ -86,11 +80,11 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "start forwarder")
 	}
-	hints, err := lru.New[uint64, hint](maxHints)
+	balancer, err := placer.NewBalancer(options.Chooser, options.IsDown)
 	if err != nil {
-		return nil, merry.Prepend(err, "start forwarder")
+		return nil, errors.Join(merry.Prepend(err, "start forwarder"), conn.Close())
 	}
-	return &Forwarder{options: options, conn: conn, hints: hints}, nil
+	return &Forwarder{options: options, conn: conn, placer: balancer}, nil
 }
 
 // Stop ends Run after the packets that have arrived are forwarded.
@@ -99,21 +93,8 @@
 // Close closes the socket, which ends Run at once.
 func (f *Forwarder) Close() error { return f.conn.Close() }
 
-// hint is the target that holds a flow or that its opening packet was sent to.
-type hint struct {
-	target uint32
-	// sequence is the sequence number of the opening packet, if hasSequence. It
-	// tells the flow from an earlier one with the same addresses and ports.
-	sequence    uint32
-	hasSequence bool
-}
-
 // AddHint caches which target holds a flow. It is safe for concurrent use.
-func (f *Forwarder) AddHint(flow uint64, target uint32) {
-	h, _ := f.hints.Peek(flow)
-	h.target = target
-	f.hints.Add(flow, h)
-}
+func (f *Forwarder) AddHint(flow uint64, target uint32) { f.placer.AddHint(flow, target) }
 
 // TimeSinceLastPacket returns the time since the last packet from a caller
 // arrived. It is safe for concurrent use.
@@ -145,7 +126,7 @@
 		return
 	}
 	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: f.options.Address.Addr()}
-	hop, ok := f.chooseTarget(table, route, p, now)
+	hop, ok := f.placer.Place(table, route, p)
 	if !ok {
 		untargeted.Inc()
 		if p.SYN {
@@ -155,49 +136,21 @@
 			Uint64("version", table.Version()).Msg("no target for packet")
 		return
 	}
+	if p.SYN {
+		opened.Inc()
+		f.logNewFlow(table, route, hop, p, now)
+	}
 	f.options.Codec.Mark(datagram, hop.Mark)
 	to := batcher.NewSockaddr(netip.AddrPortFrom(hop.Target.Address.Addr(), f.options.Address.Port()))
 	writer.Add(datagram, &to)
 	forwarded.Inc()
 }
 
-func (f *Forwarder) chooseTarget(table *router.Table, route *router.Route, p framer.Packet, now time.Time) (router.Hop, bool) {
-	key := p.Key()
-	if p.SYN {
-		hop, ok := f.chooseNewFlowTarget(table, route, key, p)
-		if ok {
-			opened.Inc()
-			f.hints.Add(key, hint{target: hop.Number, sequence: p.Sequence, hasSequence: true})
-			f.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
-				Str("route", route.Name).Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.AckNumber).
-				Bool("second_pass", hop.Mark.Pass().IsSecond()).Uint64("version", table.Version()).
-				Dur("table_age_ms", f.options.TableAge(now)).Msg("flow forwarded")
-		}
-		return hop, ok
-	}
-	if h, ok := f.hints.Get(key); ok {
-		number := h.target
-		target, ok := table.FindTarget(number)
-		if ok && route.Allows(target.Service) && (target.State != router.Gone || !f.options.IsDown(number)) {
-			return router.Hop{Number: number, Target: target, Mark: p.Mark}, true
-		}
-		f.hints.Remove(key)
-	}
-	return table.FindNextHop(route, key, p.Mark, f.options.Chooser.AcceptOpenFlow())
-}
-
-// chooseNewFlowTarget chooses the target of a new flow. A retransmitted opening
-// packet shows that the previously chosen target did not answer, so it goes to
-// another target if there is one.
-func (f *Forwarder) chooseNewFlowTarget(table *router.Table, route *router.Route, key uint64, p framer.Packet) (router.Hop, bool) {
-	accept := f.options.Chooser.AcceptNewFlow(route.SelectService(key))
-	if h, ok := f.hints.Get(key); ok && p.AckNumber > 0 && h.hasSequence && h.sequence == p.Sequence {
-		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != h.target && accept(n, t, pass) }
-		if hop, ok := table.FindNextHop(route, key, p.Mark, others); ok {
-			return hop, true
-		}
-	}
-	return table.FindNextHop(route, key, p.Mark, accept)
+func (f *Forwarder) logNewFlow(table *router.Table, route *router.Route, hop router.Hop, p framer.Packet, now time.Time) {
+	f.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
+		Str("route", route.Name).Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.AckNumber).
+		Bool("second_pass", hop.Mark.Pass().IsSecond()).Uint64("version", table.Version()).
+		Dur("table_age_ms", f.options.TableAge(now)).Msg("flow forwarded")
 }
 
 func (f *Forwarder) sendReset(p framer.Packet, reason string, table *router.Table, age time.Duration, writer *batcher.Writer) {
--- /dev/null
+++ b/internal/placer/agent.go
@@ -0,0 +1,131 @@
+package placer
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/tracker"
+)
+
+// maxHops bounds the forwarding of a packet between agents. Routing tables that
+// change during a search can cause a loop.
+const maxHops = 250
+
+// Action is what an agent does with a packet.
+type Action uint8
+
+// Actions of an agent.
+const (
+	// Deliver hands the packet to the agent's target.
+	Deliver Action = iota
+	// PassOn sends the packet to the agent of Decision.Hop.
+	PassOn
+	// Drop discards the packet, because no target is left.
+	Drop
+	// Reset discards the packet and resets its flow, because a current table proves
+	// that no target holds it.
+	Reset
+)
+
+// Decision is what an agent does with a packet. Hop is set for PassOn.
+type Decision struct {
+	Action Action
+	Hop    router.Hop
+}
+
+// AgentOptions configures an Agent.
+type AgentOptions struct {
+	// Backend is the UDP address of the target.
+	Backend netip.AddrPort
+	// Service is the service that the target serves.
+	Service string
+	Chooser *chooser.Chooser
+	Tracker *tracker.Tracker
+}
+
+// Agent places the packets that reach the agent of one target. It is safe for
+// concurrent use.
+type Agent struct {
+	options    AgentOptions
+	isStopping atomic.Bool
+}
+
+// NewAgent returns an agent that accepts new flows.
+func NewAgent(options AgentOptions) *Agent { return &Agent{options: options} }
+
+// RefuseNewFlows makes the agent pass new flows on from now on.
+func (a *Agent) RefuseNewFlows() { a.isStopping.Store(true) }
+
+// FindOwnTarget returns the entry of the agent's target in a table, or false if
+// the table has none for its address and service.
+func (a *Agent) FindOwnTarget(table *router.Table) (uint32, *router.Target, bool) {
+	number, target, ok := table.FindTargetAt(a.options.Backend)
+	if !ok || target.Service != a.options.Service {
+		return 0, nil, false
+	}
+	return number, target, true
+}
+
+// Decide decides about a caller's packet that a balancer or another agent sent.
+// The age is the time since the table was last known to be current.
+func (a *Agent) Decide(table *router.Table, route *router.Route, p framer.Packet, age time.Duration, now time.Time) Decision {
+	if !route.Allows(a.options.Service) || p.SYN && !a.acceptsNewFlow(table, route, p, age, now) {
+		return a.PassOn(table, route, p, age)
+	}
+	return Decision{Action: Deliver}
+}
+
+// acceptsNewFlow decides whether the agent's target gets a new flow.
+func (a *Agent) acceptsNewFlow(table *router.Table, route *router.Route, p framer.Packet, age time.Duration, now time.Time) bool {
+	key := p.Key()
+	if a.options.Tracker.HoldsFlow(key, p.Sequence) {
+		return true
+	}
+	_, target, ok := a.FindOwnTarget(table)
+	if a.isStopping.Load() || ok && (target.State == router.Draining || target.State == router.Gone) {
+		return false
+	}
+	if route.SelectService(key) != a.options.Service {
+		return false
+	}
+	if !ok {
+		// If a current table lacks this target, or lists another service at its
+		// address, the sender's table is out of date. A table that is itself out of
+		// date proves nothing, so the flow is accepted.
+		return age >= router.MaxConclusiveAge
+	}
+	load := a.options.Tracker.Load(now)
+	if load.IsSilent {
+		return a.options.Tracker.TryProbe(now)
+	}
+	report := chooser.Report{Running: load.Running, Slots: target.Slots, IsSuspect: load.IsSuspect}
+	if p.Mark.Pass().IsSecond() {
+		return report.HasQueueRoom(p.AckNumber > 0)
+	}
+	return report.HasFreeSlot()
+}
+
+// PassOn decides about a packet that the agent's target does not get: it goes to
+// the next target of its search.
+func (a *Agent) PassOn(table *router.Table, route *router.Route, p framer.Packet, age time.Duration) Decision {
+	accept := a.options.Chooser.AcceptOpenFlow()
+	key := p.Key()
+	if p.SYN {
+		accept = a.options.Chooser.AcceptNewFlow(route.SelectService(key))
+	}
+	own, _, _ := a.FindOwnTarget(table)
+	others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != own && accept(n, t, pass) }
+	hop, ok := table.FindNextHop(route, key, p.Mark, others)
+	switch {
+	case ok && p.Mark.Hops < maxHops:
+		hop.Mark.Hops++
+		return Decision{Action: PassOn, Hop: hop}
+	case !p.SYN && !p.RST && p.Mark.Hops < maxHops && age < router.MaxConclusiveAge:
+		return Decision{Action: Reset}
+	}
+	return Decision{Action: Drop}
+}
--- a/internal/deliverer/deliverer_test.go
+++ b/internal/placer/agent_test.go
@@ -1,4 +1,4 @@
-package deliverer
+package placer
 
 import (
 	"net/netip"
@@ -6,11 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
-	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
@@ -22,19 +20,11 @@
 	now       = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 )
 
-func newDeliverer(t *testing.T) *Deliverer {
-	t.Helper()
-	free := netip.MustParseAddrPort("127.0.0.1:0")
-	d, err := NewDeliverer(t.Context(), Options{
-		Address: free, Outbound: free, Backend: backend, Service: "feeds", Logger: zerolog.Nop(),
-		Chooser:  chooser.NewChooser(func(uint32) bool { return false }, func(uint32) (chooser.Report, bool) { return chooser.Report{}, true }),
-		Tracker:  tracker.NewTracker(tracker.Options{}),
-		TableAge: func(time.Time) time.Duration { return 0 },
-		Record:   func(string, recorder.Outcome, time.Time) {},
+func newAgent() *Agent {
+	return NewAgent(AgentOptions{
+		Backend: backend, Service: "feeds", Tracker: tracker.NewTracker(tracker.Options{}),
+		Chooser: chooser.NewChooser(func(uint32) bool { return false }, func(uint32) (chooser.Report, bool) { return chooser.Report{}, true }),
 	})
-	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = d.Close() })
-	return d
 }
 
 func newTable(change func(t *router.Target)) (*router.Table, *router.Route) {
@@ -60,9 +50,9 @@
 }
 
 // startRequests adds running requests to the load of the target.
-func startRequests(d *Deliverer, count int) {
+func startRequests(a *Agent, count int) {
 	for i := range uint16(count) {
-		d.options.Tracker.ObserveCallerPacket(packet(i+1, setOpening).Key(), packet(i+1, setOpening), now)
+		a.options.Tracker.ObserveCallerPacket(packet(i+1, setOpening).Key(), packet(i+1, setOpening), now)
 	}
 }
 
@@ -91,52 +81,51 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := newDeliverer(t)
-			startRequests(d, c.running)
+			a := newAgent()
+			startRequests(a, c.running)
 			table, route := newTable(c.target)
-			is.Equal(d.acceptsNewFlow(table, route, packet(900, c.packet), now), c.want)
+			is.Equal(a.acceptsNewFlow(table, route, packet(900, c.packet), 0, now), c.want)
 		})
 	}
 	t.Run("a stale table refuses no flow", func(t *testing.T) {
 		is := is.New(t)
-		d := newDeliverer(t)
-		d.options.TableAge = func(time.Time) time.Duration { return router.MaxConclusiveAge }
+		a := newAgent()
 		table, route := newTable(func(t *router.Target) { t.Service = "bundles" })
-		is.True(d.acceptsNewFlow(table, route, packet(900, setOpening), now))
+		is.True(a.acceptsNewFlow(table, route, packet(900, setOpening), router.MaxConclusiveAge, now))
 	})
 	t.Run("a stopping agent refuses new flows", func(t *testing.T) {
 		is := is.New(t)
-		d := newDeliverer(t)
+		a := newAgent()
 		table, route := newTable(keep)
-		d.RefuseNewFlows()
-		is.True(!d.acceptsNewFlow(table, route, packet(900, setOpening), now))
+		a.RefuseNewFlows()
+		is.True(!a.acceptsNewFlow(table, route, packet(900, setOpening), 0, now))
 	})
 	// Guards against a second flow at another target when a caller retransmits an
 	// opening packet that was already accepted.
 	t.Run("a retransmission for a flow that the target holds is accepted", func(t *testing.T) {
 		is := is.New(t)
-		d := newDeliverer(t)
+		a := newAgent()
 		table, route := newTable(func(t *router.Target) { t.State = router.Draining })
 		p := packet(900, setOpening)
-		d.options.Tracker.ObserveCallerPacket(p.Key(), p, now)
-		d.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{}, now)
-		is.True(d.acceptsNewFlow(table, route, p, now))
+		a.options.Tracker.ObserveCallerPacket(p.Key(), p, now)
+		a.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{}, now)
+		is.True(a.acceptsNewFlow(table, route, p, 0, now))
 	})
 	// Guards against new requests at a draining target (rule DRAIN) from a caller
 	// that uses the port of an ended flow again.
 	t.Run("a new flow on the port of an ended one is decided anew", func(t *testing.T) {
 		is := is.New(t)
-		d := newDeliverer(t)
+		a := newAgent()
 		draining, route := newTable(func(t *router.Target) { t.State = router.Draining })
 		serving, _ := newTable(keep)
 		p := packet(900, setOpening)
-		d.options.Tracker.ObserveCallerPacket(p.Key(), p, now)
-		d.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{}, now)
+		a.options.Tracker.ObserveCallerPacket(p.Key(), p, now)
+		a.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{}, now)
 		again := p
 		again.Sequence = p.Sequence + 5000
-		is.True(!d.acceptsNewFlow(draining, route, again, now))
-		d.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{FIN: true}, now)
-		is.True(!d.acceptsNewFlow(draining, route, p, now))
-		is.True(d.acceptsNewFlow(serving, route, p, now))
+		is.True(!a.acceptsNewFlow(draining, route, again, 0, now))
+		a.options.Tracker.ObserveTargetPacket(p.Key(), framer.Packet{FIN: true}, now)
+		is.True(!a.acceptsNewFlow(draining, route, p, 0, now))
+		is.True(a.acceptsNewFlow(serving, route, p, 0, now))
 	})
 }
--- /dev/null
+++ b/internal/placer/balancer.go
@@ -0,0 +1,80 @@
+package placer
+
+import (
+	"github.com/ansel1/merry/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
+
+// maxHints is the capacity of the hint cache; an entry takes about 100 bytes.
+const maxHints = 65_536
+
+// hint is the target that holds a flow or that its opening packet was sent to.
+type hint struct {
+	target uint32
+	// sequence is the sequence number of the opening packet, if hasSequence. It
+	// tells the flow from an earlier one with the same addresses and ports.
+	sequence    uint32
+	hasSequence bool
+}
+
+// Balancer places the packets of callers. It is safe for concurrent use.
+type Balancer struct {
+	chooser *chooser.Chooser
+	isDown  func(target uint32) bool
+	hints   *lru.Cache[uint64, hint]
+}
+
+// NewBalancer returns a balancer without hints. The function isDown reports
+// whether the agent of a target does not respond.
+func NewBalancer(c *chooser.Chooser, isDown func(target uint32) bool) (*Balancer, error) {
+	hints, err := lru.New[uint64, hint](maxHints)
+	if err != nil {
+		return nil, merry.Prepend(err, "create hint cache")
+	}
+	return &Balancer{chooser: c, isDown: isDown, hints: hints}, nil
+}
+
+// AddHint caches which target holds a flow.
+func (b *Balancer) AddHint(flow uint64, target uint32) {
+	h, _ := b.hints.Peek(flow)
+	h.target = target
+	b.hints.Add(flow, h)
+}
+
+// Place returns the target of a caller's packet, or false if there is none.
+func (b *Balancer) Place(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+	key := p.Key()
+	if p.SYN {
+		hop, ok := b.placeNewFlow(table, route, key, p)
+		if ok {
+			b.hints.Add(key, hint{target: hop.Number, sequence: p.Sequence, hasSequence: true})
+		}
+		return hop, ok
+	}
+	if h, ok := b.hints.Get(key); ok {
+		target, ok := table.FindTarget(h.target)
+		if ok && route.Allows(target.Service) && (target.State != router.Gone || !b.isDown(h.target)) {
+			return router.Hop{Number: h.target, Target: target, Mark: p.Mark}, true
+		}
+		b.hints.Remove(key)
+	}
+	return table.FindNextHop(route, key, p.Mark, b.chooser.AcceptOpenFlow())
+}
+
+// placeNewFlow chooses the target of a new flow. A retransmitted opening packet
+// shows that the previously chosen target did not answer, so it goes to another
+// target if there is one.
+func (b *Balancer) placeNewFlow(table *router.Table, route *router.Route, key uint64, p framer.Packet) (router.Hop, bool) {
+	accept := b.chooser.AcceptNewFlow(route.SelectService(key))
+	if h, ok := b.hints.Get(key); ok && p.AckNumber > 0 && h.hasSequence && h.sequence == p.Sequence {
+		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != h.target && accept(n, t, pass) }
+		if hop, ok := table.FindNextHop(route, key, p.Mark, others); ok {
+			return hop, true
+		}
+	}
+	return table.FindNextHop(route, key, p.Mark, accept)
+}
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/placer/balancer_test.go
@@ -1,26 +1,17 @@
-package forwarder
+package placer
 
 import (
-	"net/netip"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
-	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
-var (
-	published = netip.MustParseAddrPort("198.18.0.1:443")
-	caller    = netip.MustParseAddrPort("100.64.0.7:40001")
-)
-
 type fixture struct {
-	*Forwarder
+	*Balancer
 	table *router.Table
 	down  map[uint32]bool
 }
@@ -32,14 +23,9 @@
 	}, targets, 1)}
 	isDown := func(n uint32) bool { return f.down[n] }
 	var err error
-	f.Forwarder, err = NewForwarder(t.Context(), Options{
-		Address: netip.MustParseAddrPort("127.0.0.1:0"), Table: func() *router.Table { return f.table }, IsDown: isDown,
-		TableAge: func(time.Time) time.Duration { return 0 }, Logger: zerolog.Nop(),
-		Record:  func(string, recorder.Outcome, time.Time) {},
-		Chooser: chooser.NewChooser(isDown, func(uint32) (chooser.Report, bool) { return chooser.Report{Slots: 2}, true }),
-	})
+	c := chooser.NewChooser(isDown, func(uint32) (chooser.Report, bool) { return chooser.Report{Slots: 2}, true })
+	f.Balancer, err = NewBalancer(c, isDown)
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = f.Close() })
 	return f
 }
 
@@ -48,7 +34,7 @@
 	p.Source, p.Destination = caller, published
 	p.Mark.Progress = framer.StartProgress
 	route, _ := f.table.FindRoute(published)
-	hop, ok := f.chooseTarget(f.table, route, p, time.Now())
+	hop, ok := f.Place(f.table, route, p)
 	if !ok {
 		return ""
 	}
@@ -99,16 +85,16 @@
 		f := newFixture(t, feeds("a", "b", "c")...)
 		p := framer.Packet{Source: caller, Destination: published, Mark: framer.Mark{Progress: framer.StartProgress}}
 		route, _ := f.table.FindRoute(published)
-		first, ok := f.chooseTarget(f.table, route, p, time.Now())
+		first, ok := f.Place(f.table, route, p)
 		is.True(ok)
 		f.down[first.Number] = true
-		hop, ok := f.chooseTarget(f.table, route, p, time.Now())
+		hop, ok := f.Place(f.table, route, p)
 		is.True(ok)
 		is.True(hop.Number != first.Number)
 		// The agents that continue the search reach all targets.
 		delete(f.down, first.Number)
 		for ok && hop.Number != first.Number {
-			hop, ok = f.table.FindNextHop(route, p.Key(), hop.Mark, f.options.Chooser.AcceptOpenFlow())
+			hop, ok = f.table.FindNextHop(route, p.Key(), hop.Mark, f.chooser.AcceptOpenFlow())
 		}
 		is.True(ok)
 	})
