Compare the first targets of a new flow by service time and availability zone

Cause: a new flow went to the first target of its order with a free slot, so that slow and fast targets and all availability zones got the same share. After a loss of power the targets are listed under new names; for 500 ms each process left them to the second pass, in which opening packets that are sent again got no slot even if one was free, and flows went to agents that did not run yet.

Change: agents measure how long requests occupy a slot (the queue in front of the slots is followed, so that waiting does not count) and report it. A balancer compares the first four targets of the order that have a free slot; one in its own zone may take 1.5 times as long. Agents that have not reported come in the second pass. A retransmitted opening packet gets a free slot in the second pass, and a target at a listed address of its service needs no time to propagate.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -10,20 +10,32 @@
 package chooser
 
 import (
+	"time"
+
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
-// maxLoadFactor times the slots is the load up to which a target accepts a new
-// flow when no target has a free slot. At this load one request runs and one
-// waits for each slot, so the wait is about one service time.
-const maxLoadFactor = 2
+const (
+	// maxLoadFactor times the slots is the load up to which a target accepts a new
+	// flow when no target has a free slot. At this load one request runs and one
+	// waits for each slot, so the wait is about one service time.
+	maxLoadFactor = 2
+	// candidates is the number of targets that are compared for a new flow. Each
+	// one more costs hops when a balancer has no hint for the flow.
+	candidates = 4
+	// localMargin is the factor by which a target in the balancer's availability
+	// zone may be expected to be slower than another one.
+	localMargin = 1.5
+)
 
 // Report is the last load and health report of a target's agent. Running counts
-// requests; Slots is 0 if the capacity of the target is not known.
+// requests; Slots is 0 if the capacity of the target is not known, and ServiceTime
+// is 0 if no request has been observed recently.
 type Report struct {
-	Running   int
-	Slots     int
+	Running     int
+	Slots       int
+	ServiceTime time.Duration
 	IsLeaving bool // the agent is about to stop
 	IsSilent  bool // the target does not answer opening packets
 	// IsSuspect is set when the target is an outlier by its response times or lost
@@ -35,26 +47,63 @@
 // target counts as full, so that it gets work only when all others are full.
 func (r Report) HasFreeSlot() bool { return !r.IsSuspect && (r.Slots == 0 || r.Running < r.Slots) }
 
-// HasQueueRoom reports whether a target accepts an opening packet when no
-// target has a free slot. A retransmitted opening packet (isRetransmission) is
-// not accepted: its request is late already and must not delay requests that
-// can still finish in time. A target whose slots are not known accepts every
-// packet.
+// HasQueueRoom reports whether a target accepts an opening packet in the second
+// pass of a search. A retransmitted opening packet (isRetransmission) gets a free
+// slot only: its request is late already and must not delay requests that can
+// still finish in time. A target whose slots are not known accepts every packet.
 func (r Report) HasQueueRoom(isRetransmission bool) bool {
-	return r.Slots == 0 || !isRetransmission && r.Running < maxLoadFactor*r.Slots
+	if r.Slots == 0 || isRetransmission {
+		return r.HasFreeSlot()
+	}
+	return r.Running < maxLoadFactor*r.Slots
+}
+
+// Policy is the rules of a chooser, which experiments replace.
+type Policy struct {
+	// Candidates is the number of targets that are compared for a new flow.
+	Candidates int
+	// LocalMargin is the factor by which the expected time of a target in the
+	// balancer's availability zone may exceed that of another one.
+	LocalMargin float64
+	// PrefersReported is set if targets whose agents have reported come first.
+	PrefersReported bool
+	// HasQueueRoom reports whether a target accepts an opening packet in the second
+	// pass of a search.
+	HasQueueRoom func(r Report, isRetransmission bool) bool
+}
+
+// DefaultPolicy returns the rules of the product.
+func DefaultPolicy() Policy {
+	return Policy{Candidates: candidates, LocalMargin: localMargin, PrefersReported: true, HasQueueRoom: Report.HasQueueRoom}
 }
 
 // Chooser builds the target filters of searches.
 type Chooser struct {
 	isDown func(target uint32) bool
 	report func(target uint32) (Report, bool)
+	policy Policy
+}
+
+// Policy returns the policy of the chooser.
+func (c *Chooser) Policy() Policy { return c.policy }
+
+// WithPolicy returns a chooser that has another policy.
+func (c *Chooser) WithPolicy(p Policy) *Chooser {
+	return &Chooser{isDown: c.isDown, report: c.report, policy: p}
+}
+
+// ServiceTime returns the time that requests recently occupied a slot of a target,
+// or 0 if it is not known.
+func (c *Chooser) ServiceTime(target uint32) time.Duration {
+	r, _ := c.report(target)
+	return r.ServiceTime
 }
 
 // NewChooser returns a chooser. The function isDown reports whether the agent of
 // a target fails to answer, and report returns the last report of an agent, if
 // there is one.
 func NewChooser(isDown func(target uint32) bool, report func(target uint32) (Report, bool)) *Chooser {
-	return &Chooser{isDown: isDown, report: report}
+	return &Chooser{isDown: isDown, report: report, policy: DefaultPolicy()}
 }
 
 // AcceptNewFlow returns the filter for packets that open a flow of a service. The
@@ -69,8 +118,9 @@
 		}
 		r, known := c.report(number)
 		if !known {
-			// An agent that has not reported yet may be starting.
-			return target.State == router.Serving && target.IsPropagating == pass.IsSecond()
+			// An agent that has not reported yet may not run yet, and a flow would wait
+			// for a retransmission.
+			return target.State == router.Serving && (pass.IsSecond() || !c.policy.PrefersReported && !target.IsPropagating)
 		}
 		if r.IsLeaving || r.IsSilent {
 			return false
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -117,7 +117,7 @@
 	if t := c.Target; t != nil {
 		item.Target = &wirepb.TargetEntry{
 			Id: t.ID, Service: t.Service, Address: t.Address.String(), Draining: t.State == router.Draining,
-			Slots: uint32(t.Slots),
+			Slots: uint32(t.Slots), AvailabilityZone: t.Zone,
 		}
 	}
 	return item
@@ -149,7 +149,7 @@
 			return change
 		}
 		change.Target = &router.Target{
-			ID: t.GetId(), Service: t.GetService(), Address: address, Slots: int(t.GetSlots()),
+			ID: t.GetId(), Service: t.GetService(), Zone: t.GetAvailabilityZone(), Address: address, Slots: int(t.GetSlots()),
 			Revision: item.GetRevision(),
 		}
 		if t.GetDraining() {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -49,7 +49,9 @@
 	// Address is the UDP address that routers send packets to. Agents listen on
 	// the same port.
 	Address netip.AddrPort
-	Codec   framer.Codec
+	// Zone is the availability zone of this process.
+	Zone  string
+	Codec framer.Codec
 	Table   func() *router.Table
 	// TableAge returns the time since the table was last known to be current.
 	TableAge func(now time.Time) time.Duration
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "start forwarder")
 	}
-	balancer, err := placer.NewBalancer(options.Chooser, options.IsDown)
+	balancer, err := placer.NewBalancer(options.Zone, options.Chooser, options.IsDown)
 	if err != nil {
 		return nil, errors.Join(merry.Prepend(err, "start forwarder"), conn.Close())
 	}
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -102,9 +102,9 @@
 	if load.IsSilent {
 		return a.options.Tracker.TryProbe(now)
 	}
-	report := chooser.Report{Running: load.Running, Slots: target.Slots, IsSuspect: load.IsSuspect}
+	report := chooser.Report{Running: load.Running, Slots: target.Slots, ServiceTime: load.ServiceTime, IsSuspect: load.IsSuspect}
 	if p.Mark.Pass().IsSecond() {
-		return report.HasQueueRoom(p.AckNumber > 0)
+		return a.options.Chooser.Policy().HasQueueRoom(report, p.AckNumber > 0)
 	}
 	return report.HasFreeSlot()
 }
--- a/internal/placer/balancer.go
+++ b/internal/placer/balancer.go
@@ -1,6 +1,10 @@
 package placer
 
 import (
+	"cmp"
+	"math"
+	"time"
+
 	"github.com/ansel1/merry/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
@@ -26,16 +30,17 @@
 	chooser *chooser.Chooser
 	isDown  func(target uint32) bool
 	hints   *lru.Cache[uint64, hint]
+	zone    string
 }
 
-// NewBalancer returns a balancer without hints. The function isDown reports
-// whether the agent of a target does not respond.
-func NewBalancer(c *chooser.Chooser, isDown func(target uint32) bool) (*Balancer, error) {
+// NewBalancer returns a balancer without hints in an availability zone. The
+// function isDown reports whether the agent of a target does not respond.
+func NewBalancer(zone string, c *chooser.Chooser, isDown func(target uint32) bool) (*Balancer, error) {
 	hints, err := lru.New[uint64, hint](maxHints)
 	if err != nil {
 		return nil, merry.Prepend(err, "create hint cache")
 	}
-	return &Balancer{chooser: c, isDown: isDown, hints: hints}, nil
+	return &Balancer{chooser: c, isDown: isDown, hints: hints, zone: zone}, nil
 }
 
 // AddHint caches which target holds a flow.
@@ -76,5 +81,55 @@
 			return hop, true
 		}
 	}
-	return table.FindNextHop(route, key, p.Mark, accept)
+	return b.findFastest(table, route, key, p.Mark, accept)
+}
+
+// findFastest compares the first few targets in the order of the flow that have a
+// free slot, and returns the one that takes the least time for a request. A target
+// in the balancer's availability zone may take somewhat longer than another one.
+// Targets in the second pass are not compared, because their agents decide about
+// the queue. A target whose time is not known counts as average.
+func (b *Balancer) findFastest(table *router.Table, route *router.Route, key uint64, mark framer.Mark, accept router.AcceptFunc) (router.Hop, bool) {
+	first, ok := table.FindNextHop(route, key, mark, accept)
+	if !ok || first.Mark.Pass().IsSecond() {
+		return first, ok
+	}
+	policy := b.chooser.Policy()
+	candidates := make([]candidate, 0, policy.Candidates)
+	var sum, known time.Duration
+	for hop := first; ok && !hop.Mark.Pass().IsSecond() && len(candidates) < policy.Candidates; hop, ok = table.FindNextHop(route, key, hop.Mark, accept) {
+		t := b.chooser.ServiceTime(hop.Number)
+		candidates = append(candidates, candidate{hop: hop, time: t})
+		if t > 0 {
+			sum, known = sum+t, known+1
+		}
+	}
+	if known == 0 {
+		return first, true
+	}
+	best, lowest := 0, math.Inf(1)
+	for i, c := range candidates {
+		cost := float64(cmp.Or(c.time, sum/known))
+		if c.hop.Target.Zone != b.zone {
+			cost *= policy.LocalMargin
+		}
+		if cost < lowest {
+			best, lowest = i, cost
+		}
+	}
+	if best == 0 {
+		return first, true
+	}
+	// If the agent of the chosen target refuses the flow, the search starts with the
+	// first target.
+	chosen := candidates[best].hop
+	chosen.Mark = mark
+	return chosen, true
+}
+
+// candidate is a target that a new flow may go to, with its service time, 0 if it
+// is not known.
+type candidate struct {
+	hop  router.Hop
+	time time.Duration
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -133,7 +133,7 @@
 	}
 	if c.Target != nil {
 		known.lastTarget = nil
-		if known.change.Target == nil && r.revision > 0 {
+		if known.change.Target == nil && r.revision > 0 && !r.lists(c.Target, now) {
 			known.propagatedAt = now.Add(propagationTime)
 		}
 	}
@@ -141,6 +141,18 @@
 	return true
 }
 
+// lists reports whether a listed target has the address and service of another
+// one. A search in an older table then visits the same agent.
+func (r *Registrar) lists(t *router.Target, now time.Time) bool {
+	for _, known := range r.records {
+		if other, ok := known.target(now); ok && other.ID != t.ID && other.State != router.Gone &&
+			other.Address == t.Address && other.Service == t.Service && !other.IsPropagating {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire deletes old tombstones and reports whether the state of any target
 // changed between before and now by the passing of time alone.
 func (r *Registrar) Expire(before, now time.Time) bool {
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -64,6 +64,7 @@
 type Target struct {
 	ID       string
 	Service  string
+	Zone     string // availability zone
 	Address  netip.AddrPort
 	State    State
 	Slots    int
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -28,7 +29,7 @@
 	b.Target = r.ownTarget.Load()
 	load := r.tracker.Load(now)
 	b.Running, b.Flows, b.Silent, b.Suspect = uint32(max(0, load.Running)), uint32(load.Flows), load.IsSilent, load.IsSuspect
-	b.Slots = uint32(r.slots())
+	b.Slots, b.ServiceTimeUs = uint32(r.slots()), uint32(min(load.ServiceTime.Microseconds(), math.MaxUint32))
 	return b
 }
 
@@ -49,7 +50,7 @@
 func (r *Runner) agentReport(target uint32) (chooser.Report, bool) {
 	p, ok := r.signaller.PeerOfTarget(target)
 	return chooser.Report{
-		Running: p.Running, Slots: p.Slots, IsLeaving: p.IsLeaving, IsSilent: p.IsSilent, IsSuspect: p.IsSuspect,
+		Running: p.Running, Slots: p.Slots, ServiceTime: p.ServiceTime, IsLeaving: p.IsLeaving, IsSilent: p.IsSilent, IsSuspect: p.IsSuspect,
 	}, ok
 }
 
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -55,6 +55,7 @@
 		ConfirmedAt: now.Add(-time.Duration(beacon.GetConfirmedAgeMs()) * time.Millisecond),
 		Running:     int(beacon.GetRunning()), Slots: int(beacon.GetSlots()), Flows: int(beacon.GetFlows()), IsLeaving: beacon.GetLeaving(),
 		IsSilent: beacon.GetSilent(), IsSuspect: beacon.GetSuspect(), HeardAt: now,
+		ServiceTime: time.Duration(beacon.GetServiceTimeUs()) * time.Microsecond,
 	}
 	if !s.keepPeer(peer) {
 		peersRefused.Inc()
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -85,6 +85,7 @@
 	Running     int
 	Slots       int
 	Flows       int
+	ServiceTime time.Duration
 	IsLeaving   bool
 	IsSilent    bool
 	IsSuspect   bool
--- /dev/null
+++ b/internal/tracker/queue.go
@@ -0,0 +1,78 @@
+package tracker
+
+import "time"
+
+const (
+	// serviceWeight is the weight of a new observation in the mean service time.
+	serviceWeight = 0.05
+	// serviceTimeLifetime is the time without an observation after which the mean
+	// no longer describes the target, for example because it was started again.
+	serviceTimeLifetime = 10 * time.Second
+)
+
+// serviceQueue follows which pending requests of a target occupy its slots, and
+// how long. A target starts requests in the order of their arrival, so that the
+// time of a request is counted from the moment when a slot became free for it.
+type serviceQueue struct {
+	slots      int
+	occupied   int
+	waiting    []*flow
+	mean       time.Duration
+	count      int
+	observedAt time.Time
+}
+
+// add adds a flow whose request became pending.
+func (q *serviceQueue) add(f *flow, slots int, now time.Time) {
+	q.slots = slots
+	if q.slots > 0 && q.occupied >= q.slots {
+		q.waiting = append(q.waiting, f)
+		return
+	}
+	q.start(f, now)
+}
+
+func (q *serviceQueue) start(f *flow, now time.Time) {
+	q.occupied++
+	f.isRunning, f.runningSince = true, now
+}
+
+// observe records the service time of a flow's request that was answered.
+func (q *serviceQueue) observe(f *flow, now time.Time) {
+	if !f.isRunning {
+		return
+	}
+	q.count++
+	q.observedAt = now
+	weight := max(serviceWeight, 1/float64(q.count))
+	q.mean += time.Duration(weight * float64(now.Sub(f.runningSince)-q.mean))
+}
+
+// remove removes a flow whose request is no longer pending, and gives its slot to
+// the next one.
+func (q *serviceQueue) remove(f *flow, now time.Time) {
+	if !f.isRunning {
+		for i, w := range q.waiting {
+			if w == f {
+				q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
+				break
+			}
+		}
+		return
+	}
+	f.isRunning = false
+	q.occupied--
+	if len(q.waiting) > 0 {
+		next := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		q.start(next, now)
+	}
+}
+
+// serviceTime returns the mean service time, or 0 if it is not known.
+func (q *serviceQueue) serviceTime(now time.Time) time.Duration {
+	if q.count == 0 || now.Sub(q.observedAt) > serviceTimeLifetime {
+		return 0
+	}
+	return q.mean
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -69,6 +69,8 @@
 	via            netip.Addr
 	hops           uint8
 	requests       uint32     // started since the flow was opened
+	isRunning      bool       // the pending request occupies a slot
+	runningSince   time.Time
 	hintedBalancer netip.Addr // last balancer notified that the target holds the flow
 }
 
@@ -79,6 +81,7 @@
 	flows            map[uint64]*flow
 	assessor         *assessor.Assessor
 	runningRequests  int // pending requests of established flows
+	queue            serviceQueue
 	expectedRequests int // new flows whose first request is expected
 	// unansweredSince is the time of the first opening packet since the last packet
 	// from the target, or zero.
@@ -110,7 +113,7 @@
 	f := t.flows[key]
 	if f != nil && p.SYN && !f.isOpenedBy(p.Sequence) {
 		t.finishRequest(f, recorder.OutcomeUnknown, now)
-		t.removeFlow(key, f)
+		t.removeFlow(key, f, now)
 		f = nil
 	}
 	if f == nil {
@@ -135,7 +138,7 @@
 		t.stopExpecting(f)
 		f.hasSentData, f.nextSequence = true, end
 		if !f.isPending {
-			t.setPending(f, true)
+			t.setPending(f, true, now)
 			f.requests++
 			f.pendingSince = now
 			slots := t.options.Slots()
@@ -148,7 +151,7 @@
 	}
 	if p.RST {
 		t.finishRequest(f, recorder.OutcomeUnknown, now)
-		t.removeFlow(key, f)
+		t.removeFlow(key, f, now)
 	}
 }
 
@@ -176,18 +179,23 @@
 	if f.isPending && f.isEstablished {
 		t.options.Record(o, now)
 	}
-	t.setPending(f, false)
+	if f.isPending && o == recorder.OutcomeGood {
+		t.queue.observe(f, now)
+	}
+	t.setPending(f, false, now)
 }
 
 // setPending sets whether a flow has a pending request and updates the number of
 // running requests. A request does not count while the target has sent nothing on
 // the flow, because the target may never have received the data.
-func (t *Tracker) setPending(f *flow, isPending bool) {
+func (t *Tracker) setPending(f *flow, isPending bool, now time.Time) {
 	if f.isEstablished && f.isPending != isPending {
 		if isPending {
 			t.runningRequests++
+			t.queue.add(f, t.options.Slots(), now)
 		} else {
 			t.runningRequests--
+			t.queue.remove(f, now)
 		}
 	}
 	f.isPending = isPending
@@ -210,6 +218,7 @@
 		f.isEstablished = true
 		if f.isPending {
 			t.runningRequests++
+			t.queue.add(f, t.options.Slots(), now)
 		}
 	}
 	if p.Length > 0 {
@@ -222,7 +231,7 @@
 	}
 	if p.RST {
 		t.finishRequest(f, recorder.OutcomeBroken, now)
-		t.removeFlow(key, f)
+		t.removeFlow(key, f, now)
 		return netip.Addr{}, false
 	}
 	if f.hops == 0 || !f.via.IsValid() || f.hintedBalancer == f.via {
@@ -249,14 +258,14 @@
 		t.assessor.ObserveLostFlow(now)
 		t.finishRequest(f, recorder.OutcomeBroken, now)
 	}
-	t.removeFlow(key, f)
+	t.removeFlow(key, f, now)
 	return framer.Mark{Via: f.via, Hops: f.hops}
 }
 
 // removeFlow deletes a flow and its share of the load.
-func (t *Tracker) removeFlow(key uint64, f *flow) {
+func (t *Tracker) removeFlow(key uint64, f *flow, now time.Time) {
 	t.stopExpecting(f)
-	t.setPending(f, false)
+	t.setPending(f, false, now)
 	delete(t.flows, key)
 }
 
@@ -282,7 +291,7 @@
 		switch {
 		case now.Sub(f.lastSeen) > idleTimeout:
 			t.finishRequest(f, recorder.OutcomeUnknown, now)
-			t.removeFlow(key, f)
+			t.removeFlow(key, f, now)
 		case f.isPending && now.Sub(f.pendingSince) > requestTimeout:
 			t.finishRequest(f, recorder.OutcomeUnknown, now)
 		case !f.hasSentData && now.Sub(f.openedAt) > firstRequestTimeout:
@@ -295,6 +304,9 @@
 type Load struct {
 	Running  int // running requests and new flows that are about to send one
 	Flows    int
+	// ServiceTime is the mean time that recent requests occupied a slot, 0 if there
+	// were none.
+	ServiceTime time.Duration
 	IsSilent bool // the target does not answer opening packets
 	// IsSuspect is set when the target is an outlier by its response times or lost
 	// an open flow.
@@ -306,7 +318,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	return Load{
-		Running: t.runningRequests + t.expectedRequests, Flows: len(t.flows),
+		Running: t.runningRequests + t.expectedRequests, Flows: len(t.flows), ServiceTime: t.queue.serviceTime(now),
 		IsSuspect: t.assessor.IsSuspect(now),
 		IsSilent:  !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) > silenceTimeout,
 	}
--- /dev/null
+++ b/standin/simulator/fault.go
@@ -0,0 +1,101 @@
+package simulator
+
+import (
+	"time"
+
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+)
+
+// scheduleFault draws the figures of a fault and schedules it.
+func (w *world) scheduleFault(f Fault) {
+	at, length := warmUp+f.At.drawMs(w.random), f.For.drawMs(w.random)
+	share, factor := f.Share.draw(w.random), f.Factor.draw(w.random)
+	w.result.faults = append(w.result.faults, span{from: at - warmUp, to: at - warmUp + length})
+	w.after(at, func() { w.inject(f.Kind, length, share, factor) })
+}
+
+func (w *world) inject(fault string, length time.Duration, share, factor float64) {
+	switch fault {
+	case faultPowerLoss:
+		for _, a := range w.agents {
+			w.crashTarget(a.target, length)
+		}
+		w.killProcesses(w.processes, length)
+	case faultProcessKill:
+		w.killProcesses(pickOf(w, w.processes, share), length)
+	case faultBalancerKill:
+		var killed []*process
+		for _, b := range pickOf(w, w.balancers, share) {
+			killed = append(killed, &b.process)
+		}
+		w.killProcesses(killed, length)
+	case faultAgentKill:
+		var killed []*process
+		for _, a := range pickOf(w, w.agents, share) {
+			killed = append(killed, &a.process)
+		}
+		w.killProcesses(killed, length)
+	case faultTargetCrash:
+		for _, a := range pickOf(w, w.agents, share) {
+			w.crashTarget(a.target, length)
+		}
+	case faultTargetSlow:
+		for _, a := range pickOf(w, w.agents, share) {
+			a.target.slow = factor
+			w.after(length, func() { a.target.slow = 1 })
+		}
+	case faultTargetReplace:
+		for _, a := range pickOf(w, w.agents, share) {
+			w.replaceTarget(a.target)
+		}
+	case faultBurst:
+		w.rate = factor
+		w.after(length, func() { w.rate = 1 })
+	}
+}
+
+func pickOf[T any](w *world, all []T, share float64) []T {
+	var picked []T
+	for _, i := range w.pick(len(all), share) {
+		picked = append(picked, all[i])
+	}
+	return picked
+}
+
+// killProcesses ends processes. Each starts again some time after the fault.
+func (w *world) killProcesses(killed []*process, length time.Duration) {
+	for _, p := range killed {
+		p.stop()
+		w.after(length+w.drawDuration(restartSpread), p.start)
+	}
+}
+
+// crashTarget ends a target, which starts cold and under another id after the
+// fault. Its earlier entry is removed after its lifetime.
+func (w *world) crashTarget(t *target, length time.Duration) {
+	t.stop()
+	old := t.id
+	w.after(lifetime, func() { w.publish(registrar.Change{Key: "servers/" + old}) })
+	w.after(length, func() {
+		t.start(w.coldTime)
+		w.after(w.drawDuration(entryDelay), func() {
+			t.id = w.newTargetID()
+			w.publishTarget(t, router.Serving)
+		})
+	})
+}
+
+// replaceTarget drains a target and starts another one.
+func (w *world) replaceTarget(old *target) {
+	w.publishTarget(old, router.Draining)
+	fresh := *old
+	fresh.slow = 1
+	w.addTarget(&fresh, w.coldTime)
+	fresh.agent.start()
+	w.after(drainTime, func() {
+		old.stop()
+		old.agent.stop()
+		w.publish(registrar.Change{Key: "servers/" + old.id})
+	})
+}
--- /dev/null
+++ b/standin/simulator/process.go
@@ -0,0 +1,267 @@
+package simulator
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/framer"
+	"kingcupvalve.example/kingcupvalve/internal/placer"
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/tracker"
+)
+
+const (
+	beaconInterval = 250 * time.Millisecond
+	// downAfter is the time without a beacon after which an agent counts as down.
+	downAfter = 550 * time.Millisecond
+	// tickInterval is the time between two ticks of a process.
+	tickInterval = 50 * time.Millisecond
+	// firstReadDelay is the time from the start of a process to its first table.
+	firstReadDelay = 20 * time.Millisecond
+	// changeDelay is the longest time until a process learns of a change.
+	changeDelay = 450 * time.Millisecond
+)
+
+// peerState is the last report of an agent, as a process knows it.
+type peerState struct {
+	report  chooser.Report
+	heardAt time.Time
+}
+
+// process is what balancers and agents have in common. A restarted process knows
+// nothing of before.
+type process struct {
+	world     *world
+	address   netip.Addr
+	zone      int
+	isUp      bool
+	startedAt time.Time
+	registrar *registrar.Registrar
+	table     *router.Table
+	peers     map[uint32]peerState
+	lastTick  time.Time
+	// restart replaces the parts that lose their state.
+	restart func()
+}
+
+func (p *process) start() {
+	w := p.world
+	p.isUp, p.startedAt, p.lastTick = true, w.now, w.now
+	p.registrar, p.table, p.peers = registrar.NewRegistrar(), nil, make(map[uint32]peerState)
+	p.restart()
+	started := p.startedAt
+	w.after(firstReadDelay, func() {
+		if p.isUp && p.startedAt.Equal(started) {
+			p.registrar.MergeSnapshot(w.store.items(), w.store.revision, w.now)
+			p.table = p.registrar.BuildTable(w.now)
+			w.after(w.drawDuration(tickInterval), p.requestBeacons)
+		}
+	})
+}
+
+// requestBeacons asks every agent for a beacon.
+func (p *process) requestBeacons() {
+	w := p.world
+	for _, a := range w.agents {
+		w.send(w.delay(p.zone, a.zone), func() { a.sendBeacon(p) })
+	}
+}
+
+func (p *process) stop() { p.isUp = false }
+
+// learn merges the changes that the store has, and rebuilds the table.
+func (p *process) learn() {
+	if !p.isUp || p.table == nil {
+		return
+	}
+	if changes, revision := p.world.store.after(p.registrar.Revision()); p.registrar.Merge(changes, revision, p.world.now) {
+		p.table = p.registrar.BuildTable(p.world.now)
+	}
+}
+
+func (p *process) tick() {
+	if !p.isUp || p.table == nil {
+		return
+	}
+	if p.registrar.Expire(p.lastTick, p.world.now) {
+		p.table = p.registrar.BuildTable(p.world.now)
+	}
+	p.lastTick = p.world.now
+}
+
+func (p *process) isDown(target uint32) bool {
+	heardAt := p.startedAt
+	if peer, ok := p.peers[target]; ok {
+		heardAt = peer.heardAt
+	}
+	return p.world.now.Sub(heardAt) > downAfter
+}
+
+func (p *process) report(target uint32) (chooser.Report, bool) {
+	peer, ok := p.peers[target]
+	return peer.report, ok
+}
+
+// balancer forwards callers' packets.
+type balancer struct {
+	process
+	placer *placer.Balancer
+}
+
+func (w *world) newBalancer(zone int) *balancer {
+	b := &balancer{process: process{world: w, address: w.newAddress(), zone: zone}}
+	b.restart = func() {
+		c := w.variant.newChooser(b.isDown, b.report)
+		var err error
+		if b.placer, err = placer.NewBalancer(zoneName(b.zone), c, b.isDown); err != nil {
+			panic(err) // fails only for a cache without room
+		}
+	}
+	return b
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
+func (b *balancer) isReady() bool { return b.isUp && b.table != nil }
+
+func (b *balancer) receive(p packet) {
+	if !b.isReady() {
+		return
+	}
+	route, ok := b.table.FindRoute(p.Destination)
+	if !ok {
+		return
+	}
+	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: b.address}
+	if p.SYN && p.flow.firstSeen.IsZero() {
+		p.flow.firstSeen, p.flow.firstCopy = b.world.now, p.AckNumber
+	}
+	hop, ok := b.placer.Place(b.table, route, p.Packet)
+	if !ok {
+		return
+	}
+	p.Mark = hop.Mark
+	if p.Length > 0 {
+		b.world.forwarded++
+		if hop.Target.Zone != zoneName(b.zone) {
+			b.world.crossed++
+		}
+	}
+	b.world.sendToAgent(b.zone, hop.Target.Address.Addr(), p)
+}
+
+// agent delivers packets to the target on its host.
+type agent struct {
+	process
+	placer  *placer.Agent
+	tracker *tracker.Tracker
+	target  *target
+}
+
+func (w *world) newAgent(t *target) *agent {
+	a := &agent{process: process{world: w, address: t.address.Addr(), zone: t.zone}, target: t}
+	a.restart = func() {
+		a.tracker = tracker.NewTracker(tracker.Options{Slots: func() int { return t.slots }})
+		a.placer = placer.NewAgent(placer.AgentOptions{
+			Backend: t.address, Service: t.service, Chooser: w.variant.newChooser(a.isDown, a.report), Tracker: a.tracker,
+		})
+	}
+	return a
+}
+
+func (a *agent) tick() {
+	if !a.isUp {
+		return
+	}
+	a.process.tick()
+	a.tracker.Expire(a.world.now, 0)
+}
+
+// sendBeacons reports the load of the target to every process.
+func (a *agent) sendBeacons() {
+	for _, p := range a.world.processes {
+		a.sendBeacon(p)
+	}
+}
+
+func (a *agent) sendBeacon(p *process) {
+	w := a.world
+	if !a.isUp || a.table == nil || p == &a.process {
+		return
+	}
+	number, _, ok := a.placer.FindOwnTarget(a.table)
+	if !ok {
+		return
+	}
+	load := a.tracker.Load(w.now)
+	report := chooser.Report{Running: load.Running, Slots: a.target.slots, ServiceTime: load.ServiceTime, IsSilent: load.IsSilent, IsSuspect: load.IsSuspect}
+	w.send(w.delay(a.zone, p.zone), func() {
+		if p.isUp {
+			p.peers[number] = peerState{report: report, heardAt: w.now}
+		}
+	})
+}
+
+func (a *agent) receive(p packet) {
+	if !a.isUp || a.table == nil {
+		return
+	}
+	w := a.world
+	route, ok := a.table.FindRoute(p.Destination)
+	if !ok {
+		return
+	}
+	decision := a.placer.Decide(a.table, route, p.Packet, 0, w.now)
+	if decision.Action != placer.Deliver {
+		a.act(decision, p)
+		return
+	}
+	a.tracker.ObserveCallerPacket(p.Key(), p.Packet, w.now)
+	a.target.receive(p)
+}
+
+// returnPacket continues the search for a packet that the target did not accept.
+func (a *agent) returnPacket(p packet) {
+	if !a.isUp || a.table == nil {
+		return
+	}
+	mark := a.tracker.ObserveReturnedPacket(p.Key(), p.Packet, a.world.now)
+	p.Mark.Via, p.Mark.Hops = mark.Via, mark.Hops
+	if route, ok := a.table.FindRoute(p.Destination); ok {
+		a.act(a.placer.PassOn(a.table, route, p.Packet, 0), p)
+	}
+}
+
+func (a *agent) act(decision placer.Decision, p packet) {
+	w := a.world
+	switch decision.Action {
+	case placer.PassOn:
+		p.Mark = decision.Hop.Mark
+		w.hops++
+		w.sendToAgent(a.zone, decision.Hop.Target.Address.Addr(), p)
+	case placer.Reset:
+		w.send(w.callerDelay, func() { p.flow.reset() })
+	case placer.Drop, placer.Deliver:
+	}
+}
+
+// sendToCaller carries a packet of the target. It returns false while the agent
+// does not run.
+func (a *agent) sendToCaller(f *flow, p framer.Packet, deliver func()) bool {
+	if !a.isUp {
+		return false
+	}
+	w := a.world
+	p.Source, p.Destination = f.published, f.caller
+	if via, ok := a.tracker.ObserveTargetPacket(p.ReverseKey(), p, w.now); ok && a.table != nil {
+		if number, _, ok := a.placer.FindOwnTarget(a.table); ok {
+			key := p.ReverseKey()
+			w.sendHint(a.zone, via, key, number)
+		}
+	}
+	w.send(w.callerDelay, deliver)
+	return true
+}
--- /dev/null
+++ b/standin/simulator/result.go
@@ -0,0 +1,163 @@
+package simulator
+
+import (
+	"slices"
+	"time"
+)
+
+// windowLength is the length of the windows of which the worst are reported.
+const windowLength = 2 * time.Second
+
+// worstWindows is the number of windows whose mean is reported as the worst.
+const worstWindows = 2
+
+// span is a part of a run, from its start.
+type span struct{ from, to time.Duration }
+
+// window sums up the requests that began in a part of a run.
+type window struct {
+	owed, earned    float64
+	requests        int
+	inTime          int
+	late            int
+	failed          int
+	connect, queued time.Duration // of the late requests
+	service, other  time.Duration
+}
+
+// Result is what the callers of a run got.
+type Result struct {
+	start     time.Time
+	windows   []window
+	byKind    map[string]*window
+	latencies []time.Duration
+	faults    []span
+	hops      int
+	crossed   float64
+	all       []*request
+}
+
+func newResult(start time.Time, length time.Duration) *Result {
+	return &Result{start: start, windows: make([]window, int(length/windowLength)+1), byKind: make(map[string]*window)}
+}
+
+func (r *Result) cells(q *request) []*window {
+	k := r.byKind[q.kind.name]
+	if k == nil {
+		k = &window{}
+		r.byKind[q.kind.name] = k
+	}
+	return []*window{&r.windows[int(q.bornAt.Sub(r.start)/windowLength)], k}
+}
+
+func (r *Result) begin(q *request) {
+	for _, c := range r.cells(q) {
+		c.requests++
+		c.owed += q.kind.worth
+	}
+}
+
+func (r *Result) finish(q *request, now time.Time, isServed bool) {
+	latency := now.Sub(q.bornAt)
+	q.served, q.latency = isServed, latency
+	r.all = append(r.all, q)
+	if isServed {
+		r.latencies = append(r.latencies, latency)
+	}
+	for _, c := range r.cells(q) {
+		switch {
+		case !isServed:
+			c.failed++
+		case latency <= q.kind.target:
+			c.inTime++
+			c.earned += q.kind.worth
+		default:
+			c.late++
+			c.earned += q.kind.lateWorth
+			c.connect += q.openedAt.Sub(q.bornAt)
+			c.queued += q.startedAt.Sub(q.arrivedAt)
+			c.service += now.Sub(q.startedAt)
+			c.other += q.arrivedAt.Sub(q.openedAt)
+		}
+	}
+}
+
+func (w window) share() float64 {
+	if w.owed == 0 {
+		return 1
+	}
+	return w.earned / w.owed
+}
+
+// Served returns the earned share of the worth over the whole run.
+func (r *Result) Served() float64 {
+	var all window
+	for _, w := range r.windows {
+		all.owed += w.owed
+		all.earned += w.earned
+	}
+	return all.share()
+}
+
+// Worst returns the earned share in the worst two windows, each of two seconds.
+func (r *Result) Worst() float64 {
+	var shares []float64
+	for _, w := range r.windows {
+		if w.requests > 0 {
+			shares = append(shares, w.share())
+		}
+	}
+	slices.Sort(shares)
+	shares = shares[:min(worstWindows, len(shares))]
+	sum := 0.0
+	for _, s := range shares {
+		sum += s
+	}
+	return sum / float64(len(shares))
+}
+
+// WorstKind returns the earned share of the kind of request that is served worst.
+func (r *Result) WorstKind() float64 {
+	worst := 1.0
+	for _, k := range r.byKind {
+		worst = min(worst, k.share())
+	}
+	return worst
+}
+
+// Failed returns the share of the requests that were not served.
+func (r *Result) Failed() float64 { return r.shareOf(func(w window) int { return w.failed }) }
+
+// Late returns the share of the requests that were served after their latency
+// target.
+func (r *Result) Late() float64 { return r.shareOf(func(w window) int { return w.late }) }
+
+func (r *Result) shareOf(count func(w window) int) float64 {
+	n, all := 0, 0
+	for _, w := range r.windows {
+		n, all = n+count(w), all+w.requests
+	}
+	return float64(n) / float64(max(1, all))
+}
+
+// Latency returns a quantile of the latency of served requests.
+func (r *Result) Latency(quantile float64) time.Duration {
+	if len(r.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(r.latencies)
+	return r.latencies[int(quantile*float64(len(r.latencies)-1))]
+}
+
+// CrossZone returns the share of the requests' packets that balancers send to
+// another availability zone.
+func (r *Result) CrossZone() float64 { return r.crossed }
+
+// HopsPerRequest returns how often agents passed a packet on, for each request.
+func (r *Result) HopsPerRequest() float64 {
+	all := 0
+	for _, w := range r.windows {
+		all += w.requests
+	}
+	return float64(r.hops) / float64(max(1, all))
+}
