Add make measure-flows, a model of packet flows with paired intervals

Change: standin/simulator plays loads and faults in virtual time against the real decision packages (placer, chooser, tracker, registrar, router).

TestDecisions fails for each rule that is replaced by the former one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOL = $(GO) tool -modfile=tools/go.mod
 SOURCES = $(shell git ls-files '*.go' | grep -v '^internal/api/\|^internal/wirepb/')
 
-.PHONY: build test demo check format lint vet generate generated prove prove-short soak soak-short measure measure-parts measure-forwarding capacity fuzz
+.PHONY: build test demo check format lint vet generate generated prove prove-short soak soak-short measure measure-parts measure-flows measure-forwarding capacity fuzz
 
 build:
 	mkdir -p bin
@@ -81,6 +81,13 @@
 	mkdir -p out
 	./bin/measure --quick --service drawing-archive --lines out/parts.jsonl --page out/parts.md
 
+# The decisions about packet flows, with each rule off or replaced.
+FLOW_SEEDS ?= 30
+
+measure-flows: build
+	mkdir -p out docs/plots
+	./bin/measureflows -seeds $(FLOW_SEEDS) -lines out/flows.jsonl -plots docs/plots
+
 measure-forwarding: build
 	./bin/measureforwarding
 
--- a/standin/simulator/caller.go
+++ b/standin/simulator/caller.go
@@ -30,9 +30,8 @@
 	bornAt   time.Time
 	work     time.Duration
 	attempts int
+	runs     int
 	isOver   bool
-	served   bool
-	latency  time.Duration
 	flow     *flow
 	// openedAt, arrivedAt and startedAt are of the last attempt: the flow opened,
 	// the target received and started the request.
@@ -53,12 +52,8 @@
 	usedAt       time.Time
 	current      *request
 	acknowledged bool
-	firstSeen    time.Time
-	firstCopy    uint32
 }
 
-var debugFlow func(w *world, f *flow)
-
 // begin starts a request of a kind from a zone.
 func (w *world) begin(k *kind, zone int) {
 	w.lastRequest++
@@ -94,11 +89,6 @@
 			}
 		})
 	}
-	w.after(openTimeout+time.Millisecond, func() {
-		if debugFlow != nil && !f.firstSeen.IsZero() {
-			debugFlow(w, f)
-		}
-	})
 	w.after(openTimeout, func() {
 		if !f.isOpen && !f.isClosed {
 			f.end(true)
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -136,9 +136,6 @@
 		return
 	}
 	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: b.address}
-	if p.SYN && p.flow.firstSeen.IsZero() {
-		p.flow.firstSeen, p.flow.firstCopy = b.world.now, p.AckNumber
-	}
 	hop, ok := b.placer.Place(b.table, route, p.Packet)
 	if !ok {
 		return
--- a/standin/simulator/result.go
+++ b/standin/simulator/result.go
@@ -8,6 +8,9 @@
 // windowLength is the length of the windows of which the worst are reported.
 const windowLength = 2 * time.Second
 
+// stepLength is the length of the steps of plots.
+const stepLength = 100 * time.Millisecond
+
 // worstWindows is the number of windows whose mean is reported as the worst.
 const worstWindows = 2
 
@@ -29,16 +32,17 @@
 type Result struct {
 	start     time.Time
 	windows   []window
+	steps     []window
 	byKind    map[string]*window
 	latencies []time.Duration
 	faults    []span
 	hops      int
 	crossed   float64
-	all       []*request
+	repeated  int
 }
 
 func newResult(start time.Time, length time.Duration) *Result {
-	return &Result{start: start, windows: make([]window, int(length/windowLength)+1), byKind: make(map[string]*window)}
+	return &Result{start: start, windows: make([]window, int(length/windowLength)+1), steps: make([]window, int(length/stepLength)+1), byKind: make(map[string]*window)}
 }
 
 func (r *Result) cells(q *request) []*window {
@@ -47,7 +51,8 @@
 		k = &window{}
 		r.byKind[q.kind.name] = k
 	}
-	return []*window{&r.windows[int(q.bornAt.Sub(r.start)/windowLength)], k}
+	at := q.bornAt.Sub(r.start)
+	return []*window{&r.windows[int(at/windowLength)], &r.steps[int(at/stepLength)], k}
 }
 
 func (r *Result) begin(q *request) {
@@ -59,8 +64,6 @@
 
 func (r *Result) finish(q *request, now time.Time, isServed bool) {
 	latency := now.Sub(q.bornAt)
-	q.served, q.latency = isServed, latency
-	r.all = append(r.all, q)
 	if isServed {
 		r.latencies = append(r.latencies, latency)
 	}
@@ -125,6 +128,9 @@
 	return worst
 }
 
+// Repeated returns how often a request that is not idempotent ran again.
+func (r *Result) Repeated() int { return r.repeated }
+
 // Failed returns the share of the requests that were not served.
 func (r *Result) Failed() float64 { return r.shareOf(func(w window) int { return w.failed }) }
 
--- a/standin/simulator/simulator_test.go
+++ b/standin/simulator/simulator_test.go
@@ -1,101 +1,162 @@
 package simulator
 
 import (
-	"fmt"
-	"math"
+	"bytes"
 	"os"
-	"regexp"
-	"strconv"
-	"sync"
+	"path/filepath"
+	"strings"
 	"testing"
-	"time"
 
+	"github.com/matryer/is"
 	"gonum.org/v1/gonum/stat"
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 )
 
-func room(limit float64) func(r chooser.Report, c bool, target time.Duration) bool {
-	return func(r chooser.Report, c bool, target time.Duration) bool {
-		if r.Slots == 0 || r.ServiceTime == 0 || target == 0 {
-			return r.HasQueueRoom(c, target)
+const (
+	loadsPath      = "loads/flows.yaml"
+	smallLoadsPath = "testdata/loads.yaml"
+)
+
+// seeds is the number of runs that a test averages over. Runs are determined by
+// their seed, so that a test has the same result each time.
+const seeds = 6
+
+func findLoad(t *testing.T, name string) Load {
+	t.Helper()
+	loads, err := ReadLoads(smallLoadsPath)
+	is.New(t).NoErr(err)
+	for _, l := range loads {
+		if l.Name == name {
+			return l
 		}
-		return !c && r.Running < 4*r.Slots && float64(r.ExpectedTime()) <= limit*float64(target)
 	}
+	t.Fatalf("no load %q", name)
+	return Load{}
 }
 
-func lateRoom(limit, late float64) func(r chooser.Report, c bool, target time.Duration) bool {
-	return func(r chooser.Report, c bool, target time.Duration) bool {
-		if r.Slots == 0 || r.ServiceTime == 0 || target == 0 {
-			return r.HasQueueRoom(c, target)
-		}
-		if c {
-			return float64(r.Running) < late*float64(r.Slots)
-		}
-		return r.Running < 4*r.Slots && float64(r.ExpectedTime()) <= limit*float64(target)
+// meanDifference returns the mean difference of a figure between the policy and
+// another variant.
+func meanDifference(l Load, other Variant, of func(r *Result) float64) float64 {
+	results := playAll(l, []Variant{Policy(), other}, Options{Seeds: seeds})
+	differences := make([]float64, seeds)
+	for i := range differences {
+		differences[i] = of(results[0][i]) - of(results[1][i])
 	}
+	return stat.Mean(differences, nil)
 }
 
-func TestLook(t *testing.T) {
-	loads, err := ReadLoads(path())
-	if err != nil {
-		t.Fatal(err)
-	}
-	base := func(late float64) func(r chooser.Report, c bool, target time.Duration) bool {
-		return func(r chooser.Report, c bool, target time.Duration) bool {
-			if c {
-				return r.Slots == 0 || float64(r.Running) < late*float64(r.Slots)
-			}
-			return r.HasQueueRoom(c, target)
-		}
-	}
-	variants := []Variant{
-		Policy(),
-		withPolicy("late1", func(p *chooser.Policy) { p.HasQueueRoom = base(1) }),
-		withPolicy("prefer", func(p *chooser.Policy) { p.PrefersReported = true }),
-		withPolicy("pref+late1", func(p *chooser.Policy) { p.HasQueueRoom = base(1); p.PrefersReported = true }),
-		withPolicy("k3", func(p *chooser.Policy) { p.Candidates = 3 }),
-		withPolicy("k4", func(p *chooser.Policy) { p.Candidates = 4 }),
-		withPolicy("k4 1.2", func(p *chooser.Policy) { p.Candidates = 4; p.LocalMargin = 1.2 }),
-		withPolicy("k4 1.5", func(p *chooser.Policy) { p.Candidates = 4; p.LocalMargin = 1.5 }),
-		withPolicy("k4 2", func(p *chooser.Policy) { p.Candidates = 4; p.LocalMargin = 2 }),
-		withPolicy("k6 1.5", func(p *chooser.Policy) { p.Candidates = 6; p.LocalMargin = 1.5 }),
-		withPolicy("all", func(p *chooser.Policy) { p.HasQueueRoom = base(1); p.PrefersReported = true; p.Candidates = 4; p.LocalMargin = 1.5 }),
-	}
-	n, _ := strconv.Atoi(os.Getenv("N"))
+func variant(change func(p *chooser.Policy)) Variant { return Variant{name: "other", change: change} }
+
+func TestPlay(t *testing.T) {
+	t.Run("a seed determines the run", func(t *testing.T) {
+		is := is.New(t)
+		l := findLoad(t, "loss of power")
+		a, b := Play(l, Policy(), 3), Play(l, Policy(), 3)
+		is.Equal(a.windows, b.windows)
+		is.True(Play(l, Policy(), 4).Latency(0.5) != a.Latency(0.5))
+	})
+	loads, err := ReadLoads(loadsPath)
+	is.New(t).NoErr(err)
 	for _, l := range loads {
-		if m, _ := regexp.MatchString(os.Getenv("ONLY"), l.Name); !m {
-			continue
-		}
-		results := make([][]*Result, len(variants))
-		var wait sync.WaitGroup
-		sem := make(chan int, 5)
-		for i, v := range variants {
-			results[i] = make([]*Result, n)
-			for s := range n {
-				wait.Add(1)
-				sem <- 1
-				go func() {
-					results[i][s] = Play(l, v, uint64(s+1))
-					<-sem
-					wait.Done()
-				}()
-			}
-		}
-		wait.Wait()
-		fmt.Println(l.Name)
-		for i, v := range variants {
-			line := fmt.Sprintf("  %-10s", v.name)
-			for _, m := range []func(r *Result) float64{(*Result).Served, (*Result).Worst, (*Result).WorstKind, (*Result).Failed, (*Result).Late, (*Result).HopsPerRequest, (*Result).CrossZone} {
-				a, d := make([]float64, n), make([]float64, n)
-				for s := range n {
-					a[s] = m(results[i][s])
-					d[s] = a[s] - m(results[0][s])
-				}
-				mean, sd := stat.MeanStdDev(d, nil)
-				line += fmt.Sprintf(" %.4f (%+.4f +-%.4f)", stat.Mean(a, nil), mean, 2.05*sd/math.Sqrt(float64(n)))
+		// Guards against a decision that loses requests without an end, or that
+		// delivers a request again which must run at most once.
+		t.Run("each request ends once, and runs once if it is not idempotent: "+l.Name, func(t *testing.T) {
+			is := is.New(t)
+			r := Play(l, Policy(), 1)
+			all, ended := 0, 0
+			for _, w := range r.windows {
+				all, ended = all+w.requests, ended+w.inTime+w.late+w.failed
 			}
-			fmt.Println(line)
-		}
+			is.True(all > 500)
+			is.Equal(ended, all)
+			is.Equal(r.Repeated(), 0)
+		})
+	}
+}
+
+// TestDecisions plays the loads that the rules of placement are made for, with and
+// without the rule.
+func TestDecisions(t *testing.T) {
+	// Guards against long requests that are late because they went to a slow target
+	// while a fast one was free.
+	t.Run("fast targets serve more requests in time", func(t *testing.T) {
+		is := is.New(t)
+		l := findLoad(t, "calm")
+		is.True(meanDifference(l, variant(func(p *chooser.Policy) { p.Candidates = 1 }), (*Result).Served) > 0)
+	})
+	// Guards against packets that cross availability zones although targets nearby
+	// have free slots.
+	t.Run("fewer packets cross availability zones", func(t *testing.T) {
+		is := is.New(t)
+		l := findLoad(t, "calm")
+		is.True(meanDifference(l, variant(func(p *chooser.Policy) { p.LocalMargin = 1 }), (*Result).CrossZone) < -0.05)
+	})
+	// Guards against flows that wait for a retransmission because the agent of their
+	// target had not started yet.
+	t.Run("agents that have reported come first after a loss of power", func(t *testing.T) {
+		is := is.New(t)
+		l := findLoad(t, "loss of power")
+		is.True(meanDifference(l, variant(func(p *chooser.Policy) { p.PrefersReported = false }), (*Result).Worst) > 0)
+	})
+	// Guards against a queue of late requests in front of those that can still be in
+	// time.
+	t.Run("retransmissions do not queue at the crest", func(t *testing.T) {
+		is := is.New(t)
+		l := findLoad(t, "crest")
+		is.True(meanDifference(l, variant(func(p *chooser.Policy) {
+			room := p.HasQueueRoom
+			p.HasQueueRoom = func(r chooser.Report, _ bool) bool { return room(r, false) }
+		}), (*Result).Served) > 0)
+	})
+	t.Run("the queue is bounded after a loss of power", func(t *testing.T) {
+		is := is.New(t)
+		is.True(meanDifference(findLoad(t, "loss of power"), variant(withQueue(1000)), (*Result).Worst) > 0)
+	})
+}
+
+func TestMeasure(t *testing.T) {
+	is := is.New(t)
+	var out, lines bytes.Buffer
+	rows, err := Measure(&out, []Load{findLoad(t, "calm")}, Variants()[:2], Options{Seeds: 2, Lines: &lines})
+	is.NoErr(err)
+	is.Equal(len(rows), 2*len(figures))
+	is.Equal(rows[0].Difference, 0.0)
+	is.Equal(strings.Count(lines.String(), "\n"), len(rows))
+	is.True(strings.Contains(out.String(), "first_target"))
+	_, err = Measure(&out, nil, nil, Options{Seeds: 1})
+	is.True(err != nil)
+	directory := t.TempDir()
+	is.NoErr(WritePlots(directory, []Load{findLoad(t, "loss of power")}, 1))
+	plots, err := filepath.Glob(filepath.Join(directory, "*.svg"))
+	is.NoErr(err)
+	is.Equal(len(plots), 2)
+}
+
+// TestReadLoads guards against an experiment that runs with other numbers than
+// its file states.
+func TestReadLoads(t *testing.T) {
+	text, err := os.ReadFile(loadsPath)
+	is.New(t).NoErr(err)
+	for _, c := range []struct{ name, from, to, want string }{
+		{"an unknown key", "swing:", "swinging:", "swinging"},
+		{"a range in descending order", "zones: [3, 5]", "zones: [5, 3]", "ascending"},
+		{"no zones", "zones: [3, 5]", "zones: 0", "zones"},
+		{"an unknown fault", "kind: burst", "kind: bursts", `"bursts"`},
+		{"an unknown service", "service: bundles", "service: bundle", `"bundle"`},
+		{"a deadline below the latency target", "deadline_ms: 8000", "deadline_ms: 80", "deadline_ms"},
+		{"a number that is text", "cold_ms: 2000", "cold_ms: long", "cold_ms"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "loads.yaml")
+			changed := strings.Replace(string(text), c.from, c.to, 1)
+			is.True(changed != string(text))
+			is.NoErr(os.WriteFile(path, []byte(changed), 0o600))
+			_, err := ReadLoads(path)
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), path))
+			is.True(strings.Contains(err.Error(), c.want))
+		})
 	}
 }
--- a/standin/simulator/target.go
+++ b/standin/simulator/target.go
@@ -97,6 +97,9 @@
 	w := t.world
 	t.running++
 	r.startedAt = w.now
+	if r.runs++; r.runs > 1 && !r.kind.isIdempotent {
+		w.result.repeated++
+	}
 	factor := t.slow / t.speed
 	if w.now.Before(t.coldUntil) {
 		factor *= t.coldFactor
--- a/standin/simulator/world.go
+++ b/standin/simulator/world.go
@@ -168,7 +168,7 @@
 			built.users = append(built.users, users)
 		}
 		w.kinds = append(w.kinds, built)
-		config.Routes = append(config.Routes, w.variant.newRoute(k, built))
+		config.Routes = append(config.Routes, router.Route{Name: k.Name, Address: built.published, Shares: []router.Share{{Service: k.Service, Weight: 1}}})
 	}
 	w.store.write(registrar.Change{Key: "config", Config: config})
 	for zone := range w.zones {
