--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -162,16 +162,8 @@
 }
 
 // Abort cancels the running requests that have a ticket, which continue after
-// their caller has disconnected, and closes idle connections to the backend
-// server.
-func (d *Dispatcher) Abort() {
-	d.abort()
-	for _, t := range []any{d.options.Transport, d.options.TicketTransport} {
-		if c, ok := t.(interface{ CloseIdleConnections() }); ok {
-			c.CloseIdleConnections()
-		}
-	}
-}
+// their caller has disconnected.
+func (d *Dispatcher) Abort() { d.abort() }
 
 // ObserveHealth updates the health of the local backend server.
 func (d *Dispatcher) ObserveHealth(h prober.Hint) {
--- a/internal/dispatcher/leaving_model_test.go
+++ b/internal/dispatcher/leaving_model_test.go
@@ -180,7 +180,7 @@
 		n.snapshot.Store(f.oldSnapshot)
 		n.Dispatcher, err = NewDispatcher(Options{
 			Target: n.target, Incarnation: 1, Service: 3, Ring: ring, Snapshot: n.snapshot.Load,
-			BackendURL: "http://backend.example", Transport: n, TicketTransport: n, Random: rand.New(rand.NewPCG(d.seed, uint64(i))), Logger: zerolog.Nop(),
+			BackendURL: "http://backend.example", Transport: n, Random: rand.New(rand.NewPCG(d.seed, uint64(i))), Logger: zerolog.Nop(),
 			OpenStream: func(context.Context, netip.AddrPort, string) (*messenger.Stream, error) {
 				return nil, errors.New("sockets are not available in virtual time")
 			},
--- a/internal/dispatcher/local.go
+++ b/internal/dispatcher/local.go
@@ -156,11 +156,7 @@
 	if err != nil {
 		return notRun(reasonRequestBody, estimator.Cancelled)
 	}
-	transport := d.options.Transport
-	if !j.idempotent {
-		transport = d.options.TicketTransport
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := d.options.Transport.RoundTrip(request)
 	if err != nil {
 		if !connected {
 			return notRun(reasonUnreachable, classifyFailure(ctx))
--- a/internal/dispatcher/options.go
+++ b/internal/dispatcher/options.go
@@ -77,11 +77,9 @@
 	// late, failed, not_run, unknown or truncated. A response that only issues a
 	// ticket does not count. It may be nil.
 	RecordOutcome func(outcome string)
-	// Transport sends idempotent requests to the backend server, TicketTransport
-	// the others. If nil, a default is used; the default TicketTransport opens a
-	// new connection for each request.
-	Transport       http.RoundTripper
-	TicketTransport http.RoundTripper
+	// Transport sends requests to the backend server. If it is nil, each request
+	// opens a connection.
+	Transport http.RoundTripper
 	// Random is used for target selection and retry backoff, under a lock. If
 	// nil, a randomly seeded source is used.
 	Random *rand.Rand
@@ -101,21 +99,15 @@
 		o.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	if o.Transport == nil {
-		o.Transport = newTransport(false)
-	}
-	if o.TicketTransport == nil {
-		o.TicketTransport = newTransport(true)
+		o.Transport = newTransport()
 	}
 	return o
 }
 
-// newTransport returns a transport to the local backend server. Non-idempotent
-// requests use a new connection each, because the backend server may close an
-// idle one at the moment of the write, which leaves the outcome unknown.
-func newTransport(disableKeepAlives bool) *http.Transport {
-	return &http.Transport{
-		DisableKeepAlives: disableKeepAlives, DisableCompression: true,
-		MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
-		MaxResponseHeaderBytes: 64 << 10,
-	}
+// newTransport returns a transport to the local backend server. Each request uses
+// a connection of its own: a late second copy of an answer would otherwise be taken
+// for the answer to the next request, and the backend server may close an idle
+// connection at the moment of the write, which leaves the outcome unknown.
+func newTransport() *http.Transport {
+	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 64 << 10}
 }
