Revert the queue bound by expected time

Cause: the bound refuses new flows earlier at slow and cold targets. Callers whose opening packets are refused three times wait for their next attempt, and more of them reach their deadline.

The tests of the service time and the load with late agents stay. Key names in the model no longer match those of the platform (TestPlatformNames).

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -17,17 +17,10 @@
 )
 
 const (
-	// maxLoadFactor times the slots is the highest load at which a target accepts a
-	// new flow.
-	maxLoadFactor = 3
-	// uncertainLoadFactor applies instead while the service time of the target or
-	// the latency target of the route is not known. At this load one request runs
-	// and one waits for each slot, so the wait is about one service time.
-	uncertainLoadFactor = 2
-	// queueShare is the part of the latency target within which a request that has
-	// to wait for a slot is expected to be answered. Service times vary, so that an
-	// expectation close to the target would often be missed.
-	queueShare = 0.5
+	// maxLoadFactor times the slots is the load up to which a target accepts a new
+	// flow when no target has a free slot. At this load one request runs and one
+	// waits for each slot, so the wait is about one service time.
+	maxLoadFactor = 2
 	// candidates is the number of targets that are compared for a new flow. Each
 	// one more costs hops when a balancer has no hint for the flow.
 	candidates = 4
@@ -54,32 +47,15 @@
 // target counts as full, so that it gets work only when all others are full.
 func (r Report) HasFreeSlot() bool { return !r.IsSuspect && (r.Slots == 0 || r.Running < r.Slots) }
 
-// ExpectedTime returns the expected time until a new request is answered: the wait
-// for a slot and the service time. It returns 0 if the service time or the number
-// of slots is not known.
-func (r Report) ExpectedTime() time.Duration {
-	if r.Slots == 0 {
-		return 0
-	}
-	ahead := max(0, r.Running-r.Slots+1)
-	return r.ServiceTime + time.Duration(ahead)*r.ServiceTime/time.Duration(r.Slots)
-}
-
 // HasQueueRoom reports whether a target accepts an opening packet in the second
-// pass of a search. The latency target is that of the route, 0 if it is not known.
-// A retransmitted opening packet (isRetransmission) gets a free slot only: its
-// request is late already and must not delay requests that can still finish in
-// time. A target whose slots are not known accepts every packet.
-func (r Report) HasQueueRoom(isRetransmission bool, latencyTarget time.Duration) bool {
-	switch {
-	case r.Slots == 0 || isRetransmission:
+// pass of a search. A retransmitted opening packet (isRetransmission) gets a free
+// slot only: its request is late already and must not delay requests that can
+// still finish in time. A target whose slots are not known accepts every packet.
+func (r Report) HasQueueRoom(isRetransmission bool) bool {
+	if r.Slots == 0 || isRetransmission {
 		return r.HasFreeSlot()
-	case r.Running < r.Slots:
-		return true
-	case r.ServiceTime == 0 || latencyTarget == 0:
-		return r.Running < uncertainLoadFactor*r.Slots
 	}
-	return r.Running < maxLoadFactor*r.Slots && float64(r.ExpectedTime()) <= queueShare*float64(latencyTarget)
+	return r.Running < maxLoadFactor*r.Slots
 }
 
 // Policy is the rules of a chooser, which experiments replace.
@@ -93,7 +69,7 @@
 	PrefersReported bool
 	// HasQueueRoom reports whether a target accepts an opening packet in the second
 	// pass of a search.
-	HasQueueRoom func(r Report, isRetransmission bool, latencyTarget time.Duration) bool
+	HasQueueRoom func(r Report, isRetransmission bool) bool
 }
 
 // DefaultPolicy returns the rules of the product.
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -107,7 +107,7 @@
 			Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds()), Services: c.Config.Services,
 		}
 		for _, r := range c.Config.Routes {
-			entry := &wirepb.RouteEntry{Address: r.Address.String(), Name: r.Name, LatencyTargetMs: uint32(r.LatencyTarget.Milliseconds())}
+			entry := &wirepb.RouteEntry{Address: r.Address.String(), Name: r.Name}
 			for _, s := range r.Shares {
 				entry.Shares = append(entry.Shares, &wirepb.RouteShare{Service: s.Service, Weight: s.Weight})
 			}
@@ -136,9 +136,7 @@
 			if err != nil {
 				continue
 			}
-			route := router.Route{
-				Name: r.GetName(), Address: address, LatencyTarget: time.Duration(r.GetLatencyTargetMs()) * time.Millisecond,
-			}
+			route := router.Route{Name: r.GetName(), Address: address}
 			for _, s := range r.GetShares() {
 				route.Shares = append(route.Shares, router.Share{Service: s.GetService(), Weight: s.GetWeight()})
 			}
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -104,7 +104,7 @@
 	}
 	report := chooser.Report{Running: load.Running, Slots: target.Slots, ServiceTime: load.ServiceTime, IsSuspect: load.IsSuspect}
 	if p.Mark.Pass().IsSecond() {
-		return a.options.Chooser.Policy().HasQueueRoom(report, p.AckNumber > 0, route.LatencyTarget)
+		return a.options.Chooser.Policy().HasQueueRoom(report, p.AckNumber > 0)
 	}
 	return report.HasFreeSlot()
 }
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -20,9 +20,6 @@
 	Name    string
 	Address netip.AddrPort
 	Shares  []Share
-	// LatencyTarget is the time within which callers expect an answer, 0 if it is
-	// not known.
-	LatencyTarget time.Duration
 }
 
 // Allows reports whether the service is one of the route's services, whatever
--- a/standin/simulator/fault.go
+++ b/standin/simulator/fault.go
@@ -76,7 +76,7 @@
 func (w *world) crashTarget(t *target, length time.Duration) {
 	t.stop()
 	old := t.id
-	w.after(lifetime, func() { w.publish(registrar.Change{Key: "servers/" + old}) })
+	w.after(lifetime, func() { w.publish(registrar.Change{Key: "targets/" + old}) })
 	w.after(length, func() {
 		t.start(w.coldTime)
 		w.after(w.drawDuration(entryDelay), func() {
@@ -96,6 +96,6 @@
 	w.after(drainTime, func() {
 		old.stop()
 		old.agent.stop()
-		w.publish(registrar.Change{Key: "servers/" + old.id})
+		w.publish(registrar.Change{Key: "targets/" + old.id})
 	})
 }
--- a/standin/simulator/world.go
+++ b/standin/simulator/world.go
@@ -168,7 +168,7 @@
 			built.users = append(built.users, users)
 		}
 		w.kinds = append(w.kinds, built)
-		config.Routes = append(config.Routes, router.Route{Name: k.Name, Address: built.published, Shares: []router.Share{{Service: k.Service, Weight: 1}}, LatencyTarget: built.target})
+		config.Routes = append(config.Routes, router.Route{Name: k.Name, Address: built.published, Shares: []router.Share{{Service: k.Service, Weight: 1}}})
 	}
 	w.store.write(registrar.Change{Key: "config", Config: config})
 	for zone := range w.zones {
@@ -227,7 +227,7 @@
 }
 
 func (w *world) publishTarget(t *target, state router.State) {
-	w.publish(registrar.Change{Key: "servers/" + t.id, Target: &router.Target{
+	w.publish(registrar.Change{Key: "targets/" + t.id, Target: &router.Target{
 		ID: t.id, Service: t.service, Zone: zoneName(t.zone), Address: t.address, Slots: t.slots, State: state,
 	}})
 }
