Play port reuse, stops of agents and malformed messages in the soak

Cause: the soak's callers never used a port again, agents were killed but not stopped, and nothing sent malformed messages.

Change: each caller address has 40 ports, so that a port is used again within seconds; targets tell two flows with the same ports by the acknowledged number. New faults: planned stop of an agent, and random, truncated and empty datagrams and streams to the ports of a process.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -18,6 +18,15 @@
 	requestTimeout = 2500 * time.Millisecond
 )
 
+const (
+	// firstPort and portCount bound the ports of a caller address, so that a port is
+	// used again within seconds.
+	firstPort = 1000
+	portCount = 40
+	// sequenceStep is the distance of the first sequence numbers of two flows.
+	sequenceStep = 100_003
+)
+
 // retransmitAfter lists the times since the first transmission at which an
 // unanswered packet is retransmitted.
 var retransmitAfter = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
@@ -31,6 +40,8 @@
 	lock        sync.Mutex
 	flows       map[uint16]chan framer.Packet
 	lastPort    uint16
+	// lastSequence is the first sequence number of the last flow.
+	lastSequence uint32
 }
 
 func (e *environment) newCallerHost(address netip.Addr) (*callerHost, error) {
@@ -38,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &callerHost{environment: e, address: address, conn: conn, flows: map[uint16]chan framer.Packet{}, lastPort: 1000}
+	h := &callerHost{environment: e, address: address, conn: conn, flows: map[uint16]chan framer.Packet{}, lastPort: firstPort}
 	go h.receive()
 	return h, nil
 }
@@ -83,8 +94,14 @@
 func (h *callerHost) newFlow(to netip.AddrPort) *flow {
 	h.lock.Lock()
 	defer h.lock.Unlock()
-	h.lastPort++
-	f := &flow{host: h, source: netip.AddrPortFrom(h.address, h.lastPort), destination: to, incoming: make(chan framer.Packet, 64), sequence: 100}
+	for isUsed := true; isUsed; _, isUsed = h.flows[h.lastPort] {
+		h.lastPort = firstPort + (h.lastPort-firstPort+1)%portCount
+	}
+	h.lastSequence += sequenceStep
+	f := &flow{
+		host: h, source: netip.AddrPortFrom(h.address, h.lastPort), destination: to, incoming: make(chan framer.Packet, 64),
+		sequence: h.lastSequence,
+	}
 	h.flows[h.lastPort] = f.incoming
 	return f
 }
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -42,6 +42,8 @@
 	{"crash a target", false, func(s *Soak, pick int, d time.Duration) { s.crashTarget(s.pickAgent(pick), d) }},
 	{"kill everything", false, func(s *Soak, _ int, _ time.Duration) { s.killAll() }},
 	{"stop a balancer", true, func(s *Soak, pick int, _ time.Duration) { s.restart(s.pickBalancer(pick), true) }},
+	{"stop an agent", true, func(s *Soak, pick int, _ time.Duration) { s.restart(s.pickAgent(pick), true) }},
+	{"malformed messages", true, func(s *Soak, pick int, d time.Duration) { s.sendMalformed(s.any(pick), d) }},
 	{"reload a process", true, func(s *Soak, pick int, _ time.Duration) { s.any(pick).signal(syscall.SIGHUP) }},
 	{"replace a target", true, func(s *Soak, pick int, _ time.Duration) { s.replaceTarget(s.pickAgent(pick)) }},
 	{"change the configuration", true, func(s *Soak, pick int, _ time.Duration) { s.environment.publishConfig(pick%2 == 0) }},
--- a/standin/soaker/target.go
+++ b/standin/soaker/target.go
@@ -121,7 +121,9 @@
 		t.send(standin.Encode(framer.Packet{Source: p.Destination, Destination: p.Source, SYN: true, ACK: true, Sequence: f.sequence}, nil))
 		return
 	}
-	if f == nil || !f.established && p.AckNumber != f.sequence+1 {
+	// The number that a caller acknowledges tells a flow from an earlier one with
+	// the same ports.
+	if f == nil || p.AckNumber != f.sequence+1 {
 		standin.MarkReturned(b)
 		t.send(b)
 		return
