--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -52,7 +52,10 @@
 // slot only: its request is late already and must not delay requests that can
 // still finish in time. A target whose slots are not known accepts every packet.
 func (r Report) HasQueueRoom(isRetransmission bool) bool {
-	if r.Slots == 0 || isRetransmission {
+	switch {
+	case r.Slots == 0:
+		return true
+	case isRetransmission:
 		return r.HasFreeSlot()
 	}
 	return r.Running < maxLoadFactor*r.Slots
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -93,4 +93,6 @@
 	is.True(Report{Slots: 4, Running: 7}.HasQueueRoom(false))
 	is.True(!Report{Slots: 4, Running: 8}.HasQueueRoom(false))
 	is.True(!Report{Slots: 4, Running: 4}.HasQueueRoom(true))
+	is.True(Report{Slots: 4, Running: 3}.HasQueueRoom(true))
+	is.True(Report{IsSuspect: true}.HasQueueRoom(true)) // its slots are not known
 }
