--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -87,6 +87,13 @@
 	policy Policy
 }
 
+// NewChooser returns a chooser. The function isDown reports whether the agent of
+// a target fails to answer, and report returns the last report of an agent, if
+// there is one.
+func NewChooser(isDown func(target uint32) bool, report func(target uint32) (Report, bool)) *Chooser {
+	return &Chooser{isDown: isDown, report: report, policy: DefaultPolicy()}
+}
+
 // Policy returns the policy of the chooser.
 func (c *Chooser) Policy() Policy { return c.policy }
 
@@ -102,13 +109,6 @@
 	return r.ServiceTime
 }
 
-// NewChooser returns a chooser. The function isDown reports whether the agent of
-// a target fails to answer, and report returns the last report of an agent, if
-// there is one.
-func NewChooser(isDown func(target uint32) bool, report func(target uint32) (Report, bool)) *Chooser {
-	return &Chooser{isDown: isDown, report: report, policy: DefaultPolicy()}
-}
-
 // AcceptNewFlow returns the filter for packets that open a flow of a service. The
 // first pass visits targets with a free slot. The second pass visits the others,
 // whose agents decide by their current load. A target that other processes may
