Keep one function for agents that are down, and read the change again

Cause: a second reading of the change found a parameter of NewBalancer and an option of the forwarder that the chooser holds already, a field of the service queue that only its own method reads, an error of closing the file of lines that a shadowed variable lost (measureflows), and two usage examples that do not compile.

Change: Chooser.IsDown replaces the parameter and the option; the field is a parameter; the error is returned; comments say why routers of the model hash by themselves and why stacks are limited apart from the log. Behaviour of the product is the same, and tests keep their assertions.

Measured: tests of the changed packages with the race detector, format, lint and vet pass.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -94,6 +94,9 @@
 	return &Chooser{isDown: isDown, report: report, policy: DefaultPolicy()}
 }
 
+// IsDown reports whether the agent of a target fails to answer.
+func (c *Chooser) IsDown(target uint32) bool { return c.isDown(target) }
+
 // Policy returns the policy of the chooser.
 func (c *Chooser) Policy() Policy { return c.policy }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,8 +56,6 @@
 	// TableAge returns the time since the table was last known to be current.
 	TableAge func(now time.Time) time.Duration
 	Chooser  *chooser.Chooser
-	// IsDown reports whether the agent of a target does not respond.
-	IsDown func(target uint32) bool
 	// Record counts the outcome of a request to a service.
 	Record func(service string, o recorder.Outcome, now time.Time)
 	Logger zerolog.Logger
@@ -82,7 +80,7 @@
 	if err != nil {
 		return nil, merry.Prepend(err, "start forwarder")
 	}
-	balancer, err := placer.NewBalancer(options.Zone, options.Chooser, options.IsDown)
+	balancer, err := placer.NewBalancer(options.Zone, options.Chooser)
 	if err != nil {
 		return nil, errors.Join(merry.Prepend(err, "start forwarder"), conn.Close())
 	}
--- a/internal/placer/balancer.go
+++ b/internal/placer/balancer.go
@@ -28,19 +28,17 @@
 // Balancer places the packets of callers. It is safe for concurrent use.
 type Balancer struct {
 	chooser *chooser.Chooser
-	isDown  func(target uint32) bool
 	hints   *lru.Cache[uint64, hint]
 	zone    string
 }
 
-// NewBalancer returns a balancer without hints in an availability zone. The
-// function isDown reports whether the agent of a target does not respond.
-func NewBalancer(zone string, c *chooser.Chooser, isDown func(target uint32) bool) (*Balancer, error) {
+// NewBalancer returns a balancer without hints in an availability zone.
+func NewBalancer(zone string, c *chooser.Chooser) (*Balancer, error) {
 	hints, err := lru.New[uint64, hint](maxHints)
 	if err != nil {
 		return nil, merry.Prepend(err, "create hint cache")
 	}
-	return &Balancer{chooser: c, isDown: isDown, hints: hints, zone: zone}, nil
+	return &Balancer{chooser: c, hints: hints, zone: zone}, nil
 }
 
 // AddHint caches which target holds a flow.
@@ -62,7 +60,7 @@
 	}
 	if h, ok := b.hints.Get(key); ok {
 		target, ok := table.FindTarget(h.target)
-		if ok && route.Allows(target.Service) && (target.State != router.Gone || !b.isDown(h.target)) {
+		if ok && route.Allows(target.Service) && (target.State != router.Gone || !b.chooser.IsDown(h.target)) {
 			return router.Hop{Number: h.target, Target: target, Mark: p.Mark}, true
 		}
 		b.hints.Remove(key)
--- a/internal/placer/balancer_test.go
+++ b/internal/placer/balancer_test.go
@@ -24,7 +24,7 @@
 	isDown := func(n uint32) bool { return f.down[n] }
 	var err error
 	c := chooser.NewChooser(isDown, func(uint32) (chooser.Report, bool) { return chooser.Report{Slots: 2}, true })
-	f.Balancer, err = NewBalancer("howrah", c, isDown)
+	f.Balancer, err = NewBalancer("howrah", c)
 	is.New(t).NoErr(err)
 	return f
 }
--- a/internal/placer/doc.go
+++ b/internal/placer/doc.go
@@ -13,9 +13,9 @@
 //
 // # Usage
 //
-//	b, err := placer.NewBalancer(chooser, isDown)
+//	b, err := placer.NewBalancer(zone, chooser)
 //	hop, ok := b.Place(table, route, packet)
 //
 //	a := placer.NewAgent(placer.AgentOptions{Backend: address, Service: service, Chooser: c, Tracker: t})
-//	decision := a.Decide(table, packet, tableAge, now)
+//	decision := a.Decide(table, route, packet, tableAge, now)
 package placer
--- a/internal/recoverer/recoverer.go
+++ b/internal/recoverer/recoverer.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	// stacksPerSecond and stackBurst bound the stacks in the log. A sender can
-	// repeat a faulty message thousands of times a second.
+	// stacksPerSecond and stackBurst bound the stacks that are taken. The rate limit
+	// of the log comes too late for that: a sender can repeat a faulty message
+	// thousands of times a second.
 	stacksPerSecond = 1
 	stackBurst      = 3
 )
--- a/internal/tracker/queue.go
+++ b/internal/tracker/queue.go
@@ -14,7 +14,6 @@
 // how long. A target starts requests in the order of their arrival, so that the
 // time of a request is counted from the moment when a slot became free for it.
 type serviceQueue struct {
-	slots      int
 	occupied   int
 	waiting    []*flow
 	mean       time.Duration
@@ -24,8 +23,7 @@
 
 // add adds a flow whose request became pending.
 func (q *serviceQueue) add(f *flow, slots int, now time.Time) {
-	q.slots = slots
-	if q.slots > 0 && q.occupied >= q.slots {
+	if slots > 0 && q.occupied >= slots {
 		q.waiting = append(q.waiting, f)
 		return
 	}
--- a/standin/cmd/measureflows/main.go
+++ b/standin/cmd/measureflows/main.go
@@ -53,9 +53,9 @@
 	}
 	o := simulator.Options{Seeds: c.Int("seeds"), Workers: c.Int("workers")}
 	if path := c.String("lines"); path != "" {
-		f, err := os.Create(path)
-		if err != nil {
-			return merry.Prepend(err, "create file of lines")
+		f, createErr := os.Create(path)
+		if createErr != nil {
+			return merry.Prepend(createErr, "create file of lines")
 		}
 		defer func() { err = errors.Join(err, f.Close()) }()
 		o.Lines = f
--- a/standin/simulator/doc.go
+++ b/standin/simulator/doc.go
@@ -16,5 +16,5 @@
 //
 //	loads, err := simulator.ReadLoads("loads.yaml")
 //	result := simulator.Play(loads[0], simulator.Policy(), seed)
-//	err = simulator.Measure(os.Stdout, loads, simulator.Variants(), simulator.Options{Seeds: 30})
+//	rows, err := simulator.Measure(os.Stdout, loads, simulator.Variants(), simulator.Options{Seeds: 30})
 package simulator
--- a/standin/simulator/network.go
+++ b/standin/simulator/network.go
@@ -81,6 +81,8 @@
 	w.send(w.callerDelay, func() { b.receive(p) })
 }
 
+// hashPorts is the hash of routers. It differs from the key of the flow, by which
+// targets are ordered, so that a balancer's flows do not prefer some targets.
 func hashPorts(source, destination netip.AddrPort) uint64 {
 	return xxhash.Sum64String(source.String() + destination.String())
 }
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -116,7 +116,7 @@
 	b.restart = func() {
 		c := w.variant.newChooser(b.isDown, b.report)
 		var err error
-		if b.placer, err = placer.NewBalancer(zoneName(b.zone), c, b.isDown); err != nil {
+		if b.placer, err = placer.NewBalancer(zoneName(b.zone), c); err != nil {
 			panic(err) // fails only for a cache without room
 		}
 	}
