Log and count epochs of the platform

Cause: the logs of a store that came back from an older copy show neither which history an answer belongs to nor at which revision a read ended that changed nothing, so they can't tell the three hypotheses of the incident apart.

No decision uses the epoch yet.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -28,8 +28,9 @@
 )
 
 var (
-	readsDone   = metrics.GetOrCreateCounter(`kingcupvalve_follower_reads_total{result="done"}`)
-	readsFailed = metrics.GetOrCreateCounter(`kingcupvalve_follower_reads_total{result="failed"}`)
+	readsDone    = metrics.GetOrCreateCounter(`kingcupvalve_follower_reads_total{result="done"}`)
+	readsFailed  = metrics.GetOrCreateCounter(`kingcupvalve_follower_reads_total{result="failed"}`)
+	epochChanges = metrics.GetOrCreateCounter("kingcupvalve_follower_epoch_changes_total")
 )
 
 // Options configures a Follower.
@@ -77,7 +78,9 @@
 	// unreachableSince is when the platform stopped answering; zero while it
 	// answers.
 	unreachableSince time.Time
-	reads            sync.WaitGroup
+	// answerEpoch is the epoch of the last answer of the platform.
+	answerEpoch uint64
+	reads       sync.WaitGroup
 }
 
 type result struct {
@@ -193,6 +196,7 @@
 	}
 	if !r.peer.IsValid() {
 		f.recordPlatformAnswer(r.err, now)
+		f.recordEpoch(r.batch)
 	}
 	if r.err != nil {
 		if r.peer.IsValid() {
@@ -215,6 +219,10 @@
 	if r.batch.Revision >= f.registrar.Revision() {
 		f.advanceConfirmedAt(r.batch.ConfirmedAt)
 	}
+	if r.batch.Revision < f.registrar.Revision() {
+		f.options.Logger.Warn().Str("source", r.source).Uint64("epoch", r.batch.Epoch).Uint64("revision", r.batch.Revision).
+			Uint64("known_revision", f.registrar.Revision()).Msg("source is behind the routing table")
+	}
 	if changed {
 		f.publish(now)
 		f.options.Logger.Info().Str("source", r.source).Uint64("revision", f.registrar.Revision()).
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -29,6 +29,20 @@
 	}
 }
 
+// recordEpoch logs when an answer of the platform is from another epoch than the
+// answer before.
+func (f *Follower) recordEpoch(batch Batch) {
+	if batch.Epoch == f.answerEpoch || batch.Epoch == 0 {
+		return
+	}
+	if f.answerEpoch > 0 {
+		epochChanges.Inc()
+		f.options.Logger.Warn().Uint64("epoch", batch.Epoch).Uint64("previous_epoch", f.answerEpoch).
+			Uint64("revision", f.registrar.Revision()).Msg("platform came back from an older copy")
+	}
+	f.answerEpoch = batch.Epoch
+}
+
 // logTargets logs each target that changed after a revision.
 func (f *Follower) logTargets(changes []registrar.Change, after uint64) {
 	for _, c := range changes {
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -16,7 +16,11 @@
 
 // Batch is a set of items and the revision up to which it is complete.
 type Batch struct {
-	Changes  []registrar.Change
+	Changes []registrar.Change
+	// Epoch counts how often the platform came back from an older copy of its data.
+	// Revisions of different epochs are not comparable. It is also set on the empty
+	// batch of a failed read that the platform answered.
+	Epoch    uint64
 	Revision uint64
 	// IsSnapshot is set on a batch of all items, not only of the changed ones.
 	IsSnapshot bool
