Show that a configuration is lost when the platform returns from an older copy

After the return, revisions are given out again; a change whose revision is not above the known one counts as old, and a watch after a revision of the lost history skips what was written up to it.

The fake platform answers a watch after a revision that it does not have like a compacted history. A failed assertion now stops the follower of its subtest.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -23,15 +23,31 @@
 	isDown      atomic.Bool
 	isHanging   atomic.Bool
 	isCompacted atomic.Bool
+	// epoch and lost are the number of returns from an older copy and the revisions
+	// that the last one took back.
+	epoch atomic.Uint64
+	lost  atomic.Uint64
+}
+
+// restore makes the platform return from a copy that lacks the last revisions. The
+// operator writes the last version again.
+func (p *fakePlatform) restore(lost uint64) {
+	p.lost.Add(lost)
+	p.epoch.Add(1)
 }
 
 var errDown = merry.New("platform is down")
 
 func (p *fakePlatform) batch() Batch {
-	v := p.version.Load()
-	return Batch{Revision: v, Changes: []registrar.Change{{Key: "config", Revision: v, Config: &router.Config{Version: v}}}}
+	v, revision := p.version.Load(), p.revision()
+	return Batch{
+		Epoch: p.epoch.Load(), Revision: revision,
+		Changes: []registrar.Change{{Key: "config", Revision: revision, Config: &router.Config{Version: v}}},
+	}
 }
 
+func (p *fakePlatform) revision() uint64 { return p.version.Load() - p.lost.Load() }
+
 func (p *fakePlatform) source() Source {
 	return Source{
 		Read: func(context.Context) (Batch, error) {
@@ -54,11 +70,14 @@
 				if p.isDown.Load() {
 					return Batch{}, errDown
 				}
-				if p.version.Load() > after {
+				if p.revision() < after {
+					return Batch{Epoch: p.epoch.Load()}, ErrCompacted
+				}
+				if p.revision() > after {
 					return p.batch(), nil
 				}
 			}
-			return Batch{Revision: after}, nil
+			return Batch{Epoch: p.epoch.Load(), Revision: after}, nil
 		},
 	}
 }
@@ -84,9 +103,11 @@
 			defer close(done)
 			f.Run(ctx)
 		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
 		test(is.New(t), f)
-		cancel()
-		<-done
 	})
 }
 
