Order routing tables by epoch and revision

Cause: callers of a route that had been confirmed after the platform came back from an older copy were handled as by the version before. Revisions are given out again after such a return, but items, tables of peers, watches and confirmations were compared by revision alone, as if the platform's counter never went back: the class of fault is an order taken from a counter of another system beyond the life of that counter.

Change: a position is an epoch, which the platform states in each answer, and a revision. It orders items, tables, beacons and fetches; a watch that is answered in another epoch than it was sent for is followed by a read of everything, whose position is later than all of the epoch before. Status, logs and beacons carry the epoch; a process that states none is of epoch 0. Test literals name the position; no assertion changed.

--- a/internal/chooser/views_test.go
+++ b/internal/chooser/views_test.go
@@ -19,7 +19,7 @@
 			ID: string(rune('a' + i)), Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		})
 	}
-	table := router.NewTable(router.Config{}, targets, 1)
+	table := router.NewTable(router.Config{}, targets, router.Position{Revision: 1})
 	route := &router.Route{Shares: []router.Share{{Service: service, Weight: 1}}}
 	holder := targets[0].Number()
 	for key := range uint64(100) {
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -17,11 +17,11 @@
 // about 100 bytes, and a configuration with 1,000 routes about 100 KB.
 const itemsPerReply = 500
 
-// FetchChanges fetches the changes after a revision from the process at an
+// FetchChanges fetches the changes after a position from the process at an
 // address, or all items if that process does not know every removal since. It
 // observes the deadline of the context, and fails with
 // messenger.ErrProtocol if the process sends anything but table replies.
-func FetchChanges(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, after uint64) (Batch, error) {
+func FetchChanges(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, after router.Position) (Batch, error) {
 	var batch Batch
 	stream, err := m.Open(ctx, address, messenger.LaneControl)
 	if err != nil {
@@ -33,7 +33,7 @@
 			return batch, merry.Prepend(err, "fetch table")
 		}
 	}
-	request := &wirepb.TableRequest{AfterRevision: after}
+	request := &wirepb.TableRequest{AfterEpoch: after.Epoch, AfterRevision: after.Revision}
 	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_TableRequest{TableRequest: request}}); err != nil {
 		return batch, merry.Prepend(err, "fetch table")
 	}
@@ -50,7 +50,8 @@
 			batch.Changes = append(batch.Changes, decodeItem(item))
 		}
 		if !reply.GetMore() {
-			batch.Revision, batch.IsSnapshot = reply.GetRevision(), reply.GetIsSnapshot()
+			batch.Position = router.Position{Epoch: reply.GetEpoch(), Revision: reply.GetRevision()}
+			batch.IsSnapshot = reply.GetIsSnapshot()
 			batch.ConfirmedAt = time.Now().Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond)
 			return batch, nil
 		}
@@ -69,7 +70,7 @@
 		if request == nil {
 			return
 		}
-		batch, ok := f.Changes(ctx, request.GetAfterRevision())
+		batch, ok := f.Changes(ctx, router.Position{Epoch: request.GetAfterEpoch(), Revision: request.GetAfterRevision()})
 		if !ok {
 			return
 		}
@@ -85,7 +86,7 @@
 	for {
 		n := min(len(changes), itemsPerReply)
 		reply := &wirepb.TableReply{
-			Revision: batch.Revision, IsSnapshot: batch.IsSnapshot, More: n < len(changes),
+			Epoch: batch.Epoch, Revision: batch.Revision, IsSnapshot: batch.IsSnapshot, More: n < len(changes),
 			ConfirmedAgeMs: uint32(max(0, time.Since(batch.ConfirmedAt).Milliseconds())),
 		}
 		for _, c := range changes[:n] {
@@ -101,7 +102,7 @@
 }
 
 func encodeItem(c registrar.Change) *wirepb.TableItem {
-	item := &wirepb.TableItem{Key: c.Key, Revision: c.Revision}
+	item := &wirepb.TableItem{Key: c.Key, Epoch: c.Epoch, Revision: c.Revision}
 	if c.Config != nil {
 		item.Config = &wirepb.RoutingConfig{
 			Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds()), Services: c.Config.Services,
@@ -126,7 +127,7 @@
 // decodeItem converts an item to a change. A target or a route whose address
 // doesn't parse is left out, like an unreadable item of the platform.
 func decodeItem(item *wirepb.TableItem) registrar.Change {
-	change := registrar.Change{Key: item.GetKey(), Revision: item.GetRevision()}
+	change := registrar.Change{Key: item.GetKey(), Position: router.Position{Epoch: item.GetEpoch(), Revision: item.GetRevision()}}
 	if c := item.GetConfig(); c != nil {
 		change.Config = &router.Config{
 			Version: c.GetVersion(), IdleTimeout: time.Duration(c.GetIdleTimeoutMs()) * time.Millisecond, Services: c.GetServices(),
@@ -150,7 +151,7 @@
 		}
 		change.Target = &router.Target{
 			ID: t.GetId(), Service: t.GetService(), Zone: t.GetAvailabilityZone(), Address: address, Slots: int(t.GetSlots()),
-			Revision: item.GetRevision(),
+			Position: change.Position,
 		}
 		if t.GetDraining() {
 			change.Target.State = router.Draining
--- a/internal/follower/exchange_test.go
+++ b/internal/follower/exchange_test.go
@@ -37,21 +37,21 @@
 // restart of the peer that it fetches changes from.
 func TestExchange(t *testing.T) {
 	is := is.New(t)
-	entry := registrar.Change{Key: "t/a", Revision: 5, Target: &router.Target{
-		ID: "a", Service: "feeds", Zone: "howrah", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2, Revision: 5, State: router.Draining,
+	entry := registrar.Change{Key: "t/a", Position: router.Position{Revision: 5}, Target: &router.Target{
+		ID: "a", Service: "feeds", Zone: "howrah", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2, Position: router.Position{Revision: 5}, State: router.Draining,
 	}}
-	config := registrar.Change{Key: "config", Revision: 3, Config: &router.Config{
+	config := registrar.Change{Key: "config", Position: router.Position{Revision: 3}, Config: &router.Config{
 		Version: 2, Services: []string{"feeds"}, IdleTimeout: time.Second,
 		Routes: []router.Route{{Name: "r", Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []router.Share{{Service: "feeds", Weight: 7}}}},
 	}}
-	sent := Batch{Revision: 9, IsSnapshot: true, ConfirmedAt: time.Now().Add(-time.Minute), Changes: []registrar.Change{config, entry, {Key: "t/b", Revision: 4}}}
+	sent := Batch{Position: router.Position{Revision: 9}, IsSnapshot: true, ConfirmedAt: time.Now().Add(-time.Minute), Changes: []registrar.Change{config, entry, {Key: "t/b", Position: router.Position{Revision: 4}}}}
 	server, client := startMessenger(t), startMessenger(t)
 	server.Handle(messenger.LaneControl, func(_ context.Context, s *messenger.Stream) {
 		if _, err := s.Receive(); err == nil {
 			_ = sendBatch(s, sent)
 		}
 	})
-	got, err := FetchChanges(t.Context(), client, server.Address(), 4)
+	got, err := FetchChanges(t.Context(), client, server.Address(), router.Position{Revision: 4})
 	is.NoErr(err)
 	is.True(got.IsSnapshot)
 	is.Equal(got.Revision, sent.Revision)
@@ -79,7 +79,7 @@
 		}
 		c := decodeItem(&item)
 		r := registrar.NewRegistrar()
-		r.Merge([]registrar.Change{c}, c.Revision, time.Now())
+		r.Merge([]registrar.Change{c}, c.Position, time.Now())
 		r.BuildTable(time.Now()).VisitTargets(func(_ uint32, target *router.Target) {
 			if !target.Address.Addr().Is4() {
 				t.Fatalf("target with address %s", target.Address)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -36,8 +36,8 @@
 // Options configures a Follower.
 type Options struct {
 	Source Source
-	// FetchChanges fetches the changes after a revision from a peer.
-	FetchChanges func(ctx context.Context, peer netip.Addr, after uint64) (Batch, error)
+	// FetchChanges fetches the changes after a position from a peer.
+	FetchChanges func(ctx context.Context, peer netip.Addr, after router.Position) (Batch, error)
 	// Peers returns the processes that recently sent a beacon.
 	Peers func() []Peer
 	// Seeds returns processes to fetch a first table from, before the platform has
@@ -68,7 +68,7 @@
 	shouldRead     atomic.Bool
 	wakeReader     chan struct{}
 	lastReadFailed atomic.Bool // of the platform
-	revision       atomic.Uint64
+	position       atomic.Pointer[router.Position]
 	isFetching     bool
 	nextFetch      time.Time
 	seedCursor     int
@@ -91,7 +91,7 @@
 }
 
 type request struct {
-	after uint64
+	after router.Position
 	reply chan Batch
 }
 
@@ -101,8 +101,9 @@
 		options: options, timing: newTiming(options.Deadline), registrar: registrar.NewRegistrar(), start: time.Now(), ready: make(chan struct{}),
 		results: make(chan result, 4), requests: make(chan request), wakeReader: make(chan struct{}, 1),
 	}
-	f.table.Store(router.NewTable(router.Config{}, nil, 0))
+	f.table.Store(router.NewTable(router.Config{}, nil, router.Position{}))
 	f.confirmedAt.Store(int64(-initialTableAge))
+	f.position.Store(&router.Position{})
 	f.shouldRead.Store(true)
 	return f
 }
@@ -119,8 +120,8 @@
 // Table returns the table in force.
 func (f *Follower) Table() *router.Table { return f.table.Load() }
 
-// Revision returns the revision up to which the table is complete.
-func (f *Follower) Revision() uint64 { return f.revision.Load() }
+// Position returns the position up to which the table is complete.
+func (f *Follower) Position() router.Position { return *f.position.Load() }
 
 // IsReady reports whether a table is known.
 func (f *Follower) IsReady() bool {
@@ -154,9 +155,9 @@
 // did not count, such as a suspension of the machine.
 func (f *Follower) AddTableAge(d time.Duration) { f.confirmedAt.Add(-int64(d)) }
 
-// Changes returns the changes after a revision, or all items if some removals
+// Changes returns the changes after a position, or all items if some removals
 // after it are not known. It returns false if the context ends first.
-func (f *Follower) Changes(ctx context.Context, after uint64) (Batch, bool) {
+func (f *Follower) Changes(ctx context.Context, after router.Position) (Batch, bool) {
 	r := request{after: after, reply: make(chan Batch, 1)}
 	select {
 	case f.requests <- r:
@@ -181,7 +182,7 @@
 			f.applyResult(r, time.Now())
 		case r := <-f.requests:
 			changes, isSnapshot := f.registrar.Changes(r.after)
-			r.reply <- Batch{Changes: changes, Revision: f.registrar.Revision(), IsSnapshot: isSnapshot, ConfirmedAt: f.confirmedTime()}
+			r.reply <- Batch{Changes: changes, Position: f.registrar.Position(), IsSnapshot: isSnapshot, ConfirmedAt: f.confirmedTime()}
 		case now := <-ticker.C:
 			f.tick(ctx, now)
 		}
@@ -205,27 +206,28 @@
 		f.options.Logger.Warn().Err(r.err).Str("source", r.source).Dur("table_age_ms", f.TableAge(now)).Msg("failed to read routing table")
 		return
 	}
-	previous := f.registrar.Revision()
-	if r.batch.Revision < previous && !r.batch.IsSnapshot {
-		return
+	previous := f.registrar.Position()
+	if isBehind := r.batch.Compare(previous) < 0; isBehind {
+		f.options.Logger.Warn().Str("source", r.source).Uint64("epoch", r.batch.Epoch).Uint64("revision", r.batch.Revision).
+			Uint64("known_epoch", previous.Epoch).Uint64("known_revision", previous.Revision).Msg("source is behind the routing table")
+		if !r.batch.IsSnapshot || r.batch.Epoch != previous.Epoch {
+			return
+		}
 	}
 	var changed bool
 	if r.batch.IsSnapshot {
-		changed = f.registrar.MergeSnapshot(r.batch.Changes, r.batch.Revision, now)
+		changed = f.registrar.MergeSnapshot(r.batch.Changes, r.batch.Position, now)
 	} else {
-		changed = f.registrar.Merge(r.batch.Changes, r.batch.Revision, now)
+		changed = f.registrar.Merge(r.batch.Changes, r.batch.Position, now)
 	}
-	f.revision.Store(f.registrar.Revision())
-	if r.batch.Revision >= f.registrar.Revision() {
+	position := f.registrar.Position()
+	f.position.Store(&position)
+	if r.batch.Compare(position) >= 0 {
 		f.advanceConfirmedAt(r.batch.ConfirmedAt)
 	}
-	if r.batch.Revision < f.registrar.Revision() {
-		f.options.Logger.Warn().Str("source", r.source).Uint64("epoch", r.batch.Epoch).Uint64("revision", r.batch.Revision).
-			Uint64("known_revision", f.registrar.Revision()).Msg("source is behind the routing table")
-	}
 	if changed {
 		f.publish(now)
-		f.options.Logger.Info().Str("source", r.source).Uint64("revision", f.registrar.Revision()).
+		f.options.Logger.Info().Str("source", r.source).Uint64("epoch", position.Epoch).Uint64("revision", position.Revision).
 			Uint64("version", f.Table().Version()).Int("changes", len(r.batch.Changes)).Msg("routing table updated")
 		f.logTargets(r.batch.Changes, previous)
 	}
@@ -281,22 +283,22 @@
 	return !f.registrar.HasConfig() || f.IsStale(now) || f.options.IsPlatformReader(f.Table())
 }
 
-// syncWithPeers confirms the table from the beacons of peers with the same
-// revision, and fetches changes from the peer with the newest table.
+// syncWithPeers confirms the table from the beacons of peers at the same
+// position, and fetches changes from the peer with the newest table.
 func (f *Follower) syncWithPeers(ctx context.Context, now time.Time) {
 	var newest Peer
 	for _, p := range f.options.Peers() {
-		if p.Revision == f.registrar.Revision() && f.registrar.HasConfig() {
+		if p.Position == f.registrar.Position() && f.registrar.HasConfig() {
 			f.advanceConfirmedAt(p.ConfirmedAt)
 		}
-		if p.Revision > newest.Revision {
+		if p.Compare(newest.Position) > 0 {
 			newest = p
 		}
 	}
 	if f.isFetching || now.Before(f.nextFetch) {
 		return
 	}
-	if newest.Revision > f.registrar.Revision() {
+	if newest.Compare(f.registrar.Position()) > 0 {
 		f.fetchFromPeer(ctx, newest.Address)
 	} else if seeds := f.options.Seeds(); !f.registrar.HasConfig() && len(seeds) > 0 {
 		f.seedCursor++
@@ -306,7 +308,7 @@
 
 func (f *Follower) fetchFromPeer(ctx context.Context, peer netip.Addr) {
 	f.isFetching = true
-	after := f.registrar.Revision()
+	after := f.registrar.Position()
 	f.reads.Go(func() {
 		fetchContext, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -41,8 +41,8 @@
 func (p *fakePlatform) batch() Batch {
 	v, revision := p.version.Load(), p.revision()
 	return Batch{
-		Epoch: p.epoch.Load(), Revision: revision,
-		Changes: []registrar.Change{{Key: "config", Revision: revision, Config: &router.Config{Version: v}}},
+		Position: router.Position{Epoch: p.epoch.Load(), Revision: revision},
+		Changes:  []registrar.Change{{Key: "config", Position: router.Position{Epoch: p.epoch.Load(), Revision: revision}, Config: &router.Config{Version: v}}},
 	}
 }
 
@@ -71,13 +71,13 @@
 					return Batch{}, errDown
 				}
 				if p.revision() < after {
-					return Batch{Epoch: p.epoch.Load()}, ErrCompacted
+					return Batch{Position: router.Position{Epoch: p.epoch.Load()}}, ErrCompacted
 				}
 				if p.revision() > after {
 					return p.batch(), nil
 				}
 			}
-			return Batch{Epoch: p.epoch.Load(), Revision: after}, nil
+			return Batch{Position: router.Position{Epoch: p.epoch.Load(), Revision: after}}, nil
 		},
 	}
 }
@@ -89,7 +89,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		options := Options{
 			Source: p.source(), Peers: func() []Peer { return nil }, IsPlatformReader: func(*router.Table) bool { return true },
-			FetchChanges: func(context.Context, netip.Addr, uint64) (Batch, error) { return Batch{}, errDown },
+			FetchChanges: func(context.Context, netip.Addr, router.Position) (Batch, error) { return Batch{}, errDown },
 			Seeds:        func() []netip.Addr { return nil },
 			Deadline:     3 * time.Second, Logger: zerolog.Nop(),
 		}
@@ -162,9 +162,9 @@
 		var revision atomic.Uint64
 		runFollower(t, p, func(o *Options) {
 			o.Peers = func() []Peer {
-				return []Peer{{Address: netip.MustParseAddr("10.0.0.2"), Revision: revision.Load(), ConfirmedAt: time.Now()}}
+				return []Peer{{Address: netip.MustParseAddr("10.0.0.2"), Position: router.Position{Revision: revision.Load()}, ConfirmedAt: time.Now()}}
 			}
-			o.FetchChanges = func(_ context.Context, _ netip.Addr, _ uint64) (Batch, error) {
+			o.FetchChanges = func(_ context.Context, _ netip.Addr, _ router.Position) (Batch, error) {
 				b := newFakePlatform(revision.Load()).batch()
 				b.ConfirmedAt = time.Now()
 				return b, nil
@@ -183,7 +183,7 @@
 		p := newFakePlatform(1)
 		runFollower(t, p, func(o *Options) {
 			o.IsPlatformReader = func(*router.Table) bool { return false }
-			o.Peers = func() []Peer { return []Peer{{Revision: 1, ConfirmedAt: time.Now()}} }
+			o.Peers = func() []Peer { return []Peer{{Position: router.Position{Revision: 1}, ConfirmedAt: time.Now()}} }
 		}, func(is *is.I, f *Follower) {
 			<-f.Ready()
 			time.Sleep(2 * time.Second)
@@ -212,7 +212,7 @@
 				o.IsPlatformReader = func(*router.Table) bool { return false }
 				lostAt = time.Now().Add(10 * time.Second)
 				o.Peers = func() []Peer {
-					return []Peer{{Revision: 1, ConfirmedAt: time.UnixMicro(min(time.Now().UnixMicro(), lostAt.UnixMicro()))}}
+					return []Peer{{Position: router.Position{Revision: 1}, ConfirmedAt: time.UnixMicro(min(time.Now().UnixMicro(), lostAt.UnixMicro()))}}
 				}
 			}, func(is *is.I, f *Follower) {
 				<-f.Ready()
@@ -241,9 +241,9 @@
 		runFollower(t, p, func(o *Options) {
 			o.StartSpread = time.Hour
 			o.IsPlatformReader = func(*router.Table) bool { return false }
-			o.Peers = func() []Peer { return []Peer{{Revision: 1, ConfirmedAt: time.Now()}} }
+			o.Peers = func() []Peer { return []Peer{{Position: router.Position{Revision: 1}, ConfirmedAt: time.Now()}} }
 			o.Seeds = func() []netip.Addr { return []netip.Addr{netip.MustParseAddr("10.0.0.2")} }
-			o.FetchChanges = func(context.Context, netip.Addr, uint64) (Batch, error) {
+			o.FetchChanges = func(context.Context, netip.Addr, router.Position) (Batch, error) {
 				b := p.batch()
 				b.ConfirmedAt = time.Now()
 				return b, nil
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
 // recordPlatformAnswer records whether a read of the platform failed, and logs
@@ -37,19 +38,20 @@
 	}
 	if f.answerEpoch > 0 {
 		epochChanges.Inc()
+		known := f.registrar.Position()
 		f.options.Logger.Warn().Uint64("epoch", batch.Epoch).Uint64("previous_epoch", f.answerEpoch).
-			Uint64("revision", f.registrar.Revision()).Msg("platform came back from an older copy")
+			Uint64("known_epoch", known.Epoch).Uint64("known_revision", known.Revision).Msg("platform came back from an older copy")
 	}
 	f.answerEpoch = batch.Epoch
 }
 
-// logTargets logs each target that changed after a revision.
-func (f *Follower) logTargets(changes []registrar.Change, after uint64) {
+// logTargets logs each target that changed after a position.
+func (f *Follower) logTargets(changes []registrar.Change, after router.Position) {
 	for _, c := range changes {
-		if c.Revision <= after || c.Config != nil {
+		if c.Compare(after) <= 0 || c.Config != nil {
 			continue
 		}
-		event := f.options.Logger.Info().Str("key", c.Key).Uint64("revision", c.Revision)
+		event := f.options.Logger.Info().Str("key", c.Key).Uint64("epoch", c.Epoch).Uint64("revision", c.Revision)
 		if t := c.Target; t != nil {
 			event = event.Str("service", t.Service).Stringer("address", t.Address).Stringer("state", t.State)
 		} else {
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -5,6 +5,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
 const (
@@ -32,7 +34,7 @@
 				continue
 			}
 		}
-		batch, err := f.readOnce(ctx, needsSnapshot || f.revision.Load() == 0)
+		batch, err := f.readOnce(ctx, needsSnapshot || f.position.Load().IsZero())
 		needsSnapshot = errors.Is(err, ErrCompacted)
 		wait := f.timing.batchPause
 		switch {
@@ -87,7 +89,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.timing.watchWait+f.timing.answerTimeout)
 	defer cancel()
-	batch, err := f.options.Source.Watch(ctx, f.revision.Load(), f.timing.watchWait)
+	after := f.position.Load()
+	batch, err := f.options.Source.Watch(ctx, after.Revision, f.timing.watchWait)
 	batch.ConfirmedAt = time.Now()
+	if err == nil && batch.Epoch != after.Epoch {
+		return Batch{Position: router.Position{Epoch: batch.Epoch}}, ErrCompacted
+	}
 	return batch, err
 }
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -8,20 +8,19 @@
 	"github.com/ansel1/merry/v2"
 
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
 // ErrCompacted reports that the platform no longer has the changes after a
 // revision, so that all items have to be read.
 var ErrCompacted = merry.New("changes are no longer available")
 
-// Batch is a set of items and the revision up to which it is complete.
+// Batch is a set of items and the position up to which it is complete.
 type Batch struct {
 	Changes []registrar.Change
-	// Epoch counts how often the platform came back from an older copy of its data.
-	// Revisions of different epochs are not comparable. It is also set on the empty
-	// batch of a failed read that the platform answered.
-	Epoch    uint64
-	Revision uint64
+	// Position is that of the source. Its epoch is also set on the empty batch of a
+	// failed read that the platform answered.
+	router.Position
 	// IsSnapshot is set on a batch of all items, not only of the changed ones.
 	IsSnapshot bool
 	// ConfirmedAt is when the batch was last known to be current.
@@ -32,15 +31,16 @@
 type Source struct {
 	// Read returns all items.
 	Read func(ctx context.Context) (Batch, error)
-	// Watch waits for changes after a revision and returns them as soon as there
-	// are any, or an empty batch after the wait. It fails with ErrCompacted if the
+	// Watch waits for changes after a revision of the platform's current epoch and
+	// returns them as soon as there are any, or an empty batch after the wait. It
+	// fails with ErrCompacted if the
 	// platform no longer has the changes after the revision.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
 // Peer is the state of another process's table.
 type Peer struct {
-	Address     netip.Addr
-	Revision    uint64
+	Address netip.Addr
+	router.Position
 	ConfirmedAt time.Time
 }
--- a/internal/placer/agent_test.go
+++ b/internal/placer/agent_test.go
@@ -32,7 +32,7 @@
 	change(&own)
 	table := router.NewTable(router.Config{
 		Version: 1, Routes: []router.Route{{Address: published, Shares: []router.Share{{Service: "feeds", Weight: 1}}}},
-	}, []router.Target{own}, 1)
+	}, []router.Target{own}, router.Position{Revision: 1})
 	route, _ := table.FindRoute(published)
 	return table, route
 }
--- a/internal/placer/balancer_test.go
+++ b/internal/placer/balancer_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	f := &fixture{down: map[uint32]bool{}, table: router.NewTable(router.Config{
 		Version: 1, Routes: []router.Route{{Address: published, Shares: []router.Share{{Service: "feeds", Weight: 1}}}},
-	}, targets, 1)}
+	}, targets, router.Position{Revision: 1})}
 	isDown := func(n uint32) bool { return f.down[n] }
 	var err error
 	c := chooser.NewChooser(isDown, func(uint32) (chooser.Report, bool) { return chooser.Report{Slots: 2}, true })
--- a/internal/presenter/presenter.go
+++ b/internal/presenter/presenter.go
@@ -99,12 +99,16 @@
 // Status returns the status of the process.
 func (p *Presenter) Status() api.Status {
 	now, o := time.Now(), p.options
+	position := o.Follower.Position()
 	status := api.Status{
 		Process: o.Settings.Process(), Role: api.StatusRole(o.Settings.Role()), AvailabilityZone: o.Settings.AvailabilityZone(),
 		Version: operator.Version(), Incarnation: strconv.FormatUint(o.Incarnation, 16), StartedAt: p.startedAt,
-		State: p.processState(), Revision: int64(o.Follower.Revision()), ConfigState: p.configState(now),
+		State: p.processState(), Revision: int64(position.Revision), ConfigState: p.configState(now),
 		Peers: api.NewOptInt32(int32(len(o.Signaller.Peers()))), WatchesPlatform: api.NewOptBool(o.Follower.IsReadingPlatform()),
-		Counters: api.StatusCounters{"config_version": int64(o.Follower.Table().Version()), "table_age_ms": o.Follower.TableAge(now).Milliseconds()},
+		Counters: api.StatusCounters{
+			"config_version": int64(o.Follower.Table().Version()), "table_age_ms": o.Follower.TableAge(now).Milliseconds(),
+			"epoch": int64(position.Epoch),
+		},
 	}
 	if service := o.Settings.Packets().Service(); service != "" {
 		status.Service = api.NewOptString(service)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -2,10 +2,10 @@
 // process receives, from the platform's store and from peers, into one routing
 // table.
 //
-// Every item carries the revision of its last change, and the higher revision
-// wins. An older state therefore never replaces a newer one, and the result
-// depends neither on the order nor on the source of the items. A removed item is
-// kept as a tombstone with the revision of its removal. A process that asks for
+// Every item carries the position of its last change in the history of the store,
+// and the later position wins. An older state therefore never replaces a newer
+// one, and the result depends neither on the order nor on the source of the items.
+// A removed item is kept as a tombstone with the position of its removal. A process that asks for
 // changes since before the oldest tombstone gets all items instead, because it
 // would otherwise keep the items whose removal is not known here.
 //
@@ -16,7 +16,7 @@
 // # Usage
 //
 //	r := registrar.NewRegistrar()
-//	changed := r.Merge(changes, revision, now)
+//	changed := r.Merge(changes, position, now)
 //	table := r.BuildTable(now)
 package registrar
 
@@ -47,10 +47,10 @@
 // Change is the state of an item as of its last change. If both Config and
 // Target are nil, the item was removed or can't be decoded.
 type Change struct {
-	Key      string
-	Revision uint64
-	Config   *router.Config
-	Target   *router.Target
+	Key string
+	router.Position
+	Config *router.Config
+	Target *router.Target
 }
 
 // IsGone reports whether the item was removed or can't be decoded.
@@ -71,47 +71,54 @@
 type Registrar struct {
 	records  map[string]*record
 	config   router.Config
-	revision uint64
-	// oldestBase is the lowest revision since which every removal is known.
-	oldestBase uint64
+	position router.Position
+	// oldestBase is the earliest position since which every removal is known.
+	oldestBase router.Position
 }
 
 // NewRegistrar returns a registrar without items.
 func NewRegistrar() *Registrar { return &Registrar{records: make(map[string]*record)} }
 
-// Revision returns the store revision up to which the items are complete.
-func (r *Registrar) Revision() uint64 { return r.revision }
+// Position returns the position of the store up to which the items are complete.
+func (r *Registrar) Position() router.Position { return r.position }
 
 // HasConfig reports whether a configuration is known.
 func (r *Registrar) HasConfig() bool { return r.config.Version > 0 }
 
 // Merge applies changes and reports whether any of them was new. Changes must
-// include every change after the registrar's revision up to the given one.
-func (r *Registrar) Merge(changes []Change, revision uint64, now time.Time) bool {
+// include every change after the registrar's position up to the given one.
+func (r *Registrar) Merge(changes []Change, position router.Position, now time.Time) bool {
 	changed := false
 	for _, c := range changes {
 		changed = r.merge(c, now) || changed
 	}
-	r.revision = max(r.revision, revision)
+	r.position = later(r.position, position)
 	return changed
 }
 
-// MergeSnapshot applies a snapshot of all items as of a revision and reports
+// MergeSnapshot applies a snapshot of all items as of a position and reports
 // whether anything changed. Known items that the snapshot lacks are removed
 // unless they are newer.
-func (r *Registrar) MergeSnapshot(items []Change, revision uint64, now time.Time) bool {
+func (r *Registrar) MergeSnapshot(items []Change, position router.Position, now time.Time) bool {
 	listed := make(map[string]bool, len(items))
 	for _, c := range items {
 		listed[c.Key] = true
 	}
 	all := slices.Clone(items)
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
-		if known := r.records[key]; !listed[key] && known.change.Revision <= revision && !known.change.IsGone() {
-			all = append(all, Change{Key: key, Revision: revision})
+		if known := r.records[key]; !listed[key] && known.change.Compare(position) <= 0 && !known.change.IsGone() {
+			all = append(all, Change{Key: key, Position: position})
 		}
 	}
-	r.oldestBase = max(r.oldestBase, revision)
-	return r.Merge(all, revision, now)
+	r.oldestBase = later(r.oldestBase, position)
+	return r.Merge(all, position, now)
+}
+
+func later(a, b router.Position) router.Position {
+	if a.Compare(b) < 0 {
+		return b
+	}
+	return a
 }
 
 func (r *Registrar) merge(c Change, now time.Time) bool {
@@ -119,7 +126,7 @@
 	if known == nil {
 		known = &record{}
 		r.records[c.Key] = known
-	} else if c.Revision <= known.change.Revision {
+	} else if c.Compare(known.change.Position) <= 0 {
 		return false
 	}
 	if c.Config != nil && c.Config.Version > r.config.Version {
@@ -133,7 +140,7 @@
 	}
 	if c.Target != nil {
 		known.lastTarget = nil
-		if known.change.Target == nil && r.revision > 0 && !r.lists(c.Target, now) {
+		if known.change.Target == nil && !r.position.IsZero() && !r.lists(c.Target, now) {
 			known.propagatedAt = now.Add(propagationTime)
 		}
 	}
@@ -167,20 +174,20 @@
 			changed = changed || known.lastTarget != nil && before.Before(end) && !now.Before(end)
 		}
 		if now.Sub(known.removedAt) > tombstoneRetention {
-			r.oldestBase = max(r.oldestBase, known.change.Revision)
+			r.oldestBase = later(r.oldestBase, known.change.Position)
 			delete(r.records, key)
 		}
 	}
 	return changed
 }
 
-// Changes returns the items that changed after a revision, sorted by key. If a
-// removal after that revision may be unknown, it returns all items instead, and
+// Changes returns the items that changed after a position, sorted by key. If a
+// removal after that position may be unknown, it returns all items instead, and
 // true, for MergeSnapshot.
-func (r *Registrar) Changes(after uint64) (changes []Change, isSnapshot bool) {
-	isSnapshot = after < r.oldestBase
+func (r *Registrar) Changes(after router.Position) (changes []Change, isSnapshot bool) {
+	isSnapshot = after.Compare(r.oldestBase) < 0
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
-		if c := r.records[key].change; c.Revision > after || isSnapshot {
+		if c := r.records[key].change; c.Compare(after) > 0 || isSnapshot {
 			changes = append(changes, c)
 		}
 	}
@@ -189,7 +196,7 @@
 
 // BuildTable builds the routing table as of now. It ignores entries of services
 // that the configuration doesn't list. Of several entries with the same address
-// it keeps the one with the highest revision, because only the last process to
+// it keeps the one that changed last, because only the last process to
 // publish an address can still be running there.
 func (r *Registrar) BuildTable(now time.Time) *router.Table {
 	latest := make(map[netip.AddrPort]router.Target)
@@ -198,11 +205,11 @@
 		if !ok || !slices.Contains(r.config.Services, t.Service) {
 			continue
 		}
-		if other, known := latest[t.Address]; !known || other.Revision < t.Revision {
+		if other, known := latest[t.Address]; !known || other.Compare(t.Position) < 0 {
 			latest[t.Address] = t
 		}
 	}
-	return router.NewTable(r.config, slices.Collect(maps.Values(latest)), r.revision)
+	return router.NewTable(r.config, slices.Collect(maps.Values(latest)), r.position)
 }
 
 // target returns the target of the record with its state as of now, or false if
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -23,21 +23,23 @@
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
+func at(revision uint64) router.Position { return router.Position{Revision: revision} }
+
 func address(host int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(host)}), 80)
 }
 
 func target(id string, host int, revision uint64) Change {
-	return Change{Key: "t/" + id, Revision: revision, Target: &router.Target{
-		ID: id, Service: "feeds", Address: address(host), Revision: revision,
+	return Change{Key: "t/" + id, Position: at(revision), Target: &router.Target{
+		ID: id, Service: "feeds", Address: address(host), Position: at(revision),
 	}}
 }
 
 func config(version, revision uint64) Change {
-	return Change{Key: "config", Revision: revision, Config: &router.Config{Version: version, Services: []string{"feeds"}}}
+	return Change{Key: "config", Position: at(revision), Config: &router.Config{Version: version, Services: []string{"feeds"}}}
 }
 
-func gone(id string, revision uint64) Change { return Change{Key: "t/" + id, Revision: revision} }
+func gone(id string, revision uint64) Change { return Change{Key: "t/" + id, Position: at(revision)} }
 
 // states returns the state of each target by its ID.
 func states(t *router.Table) map[string]router.State {
@@ -50,18 +52,18 @@
 	t.Run("an older item never replaces a newer one", func(t *testing.T) {
 		is := is.New(t)
 		r := NewRegistrar()
-		r.Merge([]Change{config(2, 5), target("a", 1, 6)}, 6, start)
-		is.True(!r.Merge([]Change{config(1, 4), gone("a", 5)}, 5, start))
+		r.Merge([]Change{config(2, 5), target("a", 1, 6)}, at(6), start)
+		is.True(!r.Merge([]Change{config(1, 4), gone("a", 5)}, at(5), start))
 		is.Equal(r.BuildTable(start).Version(), uint64(2))
 		is.Equal(len(states(r.BuildTable(start))), 1)
-		is.Equal(r.Revision(), uint64(6))
+		is.Equal(r.Position(), at(6))
 	})
 	// Guards against flows sent to a dead target whose entry is still listed, and
 	// against searches that end there, after a new target took over its address.
 	t.Run("of several entries with one address the latest revision is the target", func(t *testing.T) {
 		is := is.New(t)
 		r := NewRegistrar()
-		r.Merge([]Change{config(1, 1), target("a", 1, 2), target("b", 1, 3)}, 3, start)
+		r.Merge([]Change{config(1, 1), target("a", 1, 2), target("b", 1, 3)}, at(3), start)
 		is.Equal(states(r.BuildTable(start)), map[string]router.State{"b": router.Serving})
 	})
 	// Guards against an outage of the platform that empties the table although
@@ -69,8 +71,8 @@
 	t.Run("a target without an entry takes new flows for 2 s and open flows for 15 s", func(t *testing.T) {
 		is := is.New(t)
 		r := NewRegistrar()
-		r.Merge([]Change{config(1, 1), target("a", 1, 2)}, 2, start)
-		r.Merge([]Change{gone("a", 3)}, 3, start)
+		r.Merge([]Change{config(1, 1), target("a", 1, 2)}, at(2), start)
+		r.Merge([]Change{gone("a", 3)}, at(3), start)
 		for _, c := range []struct {
 			after time.Duration
 			state router.State
@@ -88,14 +90,14 @@
 		r := NewRegistrar()
 		draining := target("a", 1, 2)
 		draining.Target.State = router.Draining
-		r.Merge([]Change{config(1, 1), draining, gone("a", 3)}, 3, start)
+		r.Merge([]Change{config(1, 1), draining, gone("a", 3)}, at(3), start)
 		is.Equal(states(r.BuildTable(start))["a"], router.Gone)
 	})
 	t.Run("a snapshot removes the items that it does not list", func(t *testing.T) {
 		is := is.New(t)
 		r := NewRegistrar()
-		r.Merge([]Change{config(1, 1), target("a", 1, 2), target("b", 2, 9)}, 9, start)
-		r.MergeSnapshot([]Change{config(1, 1)}, 8, start)
+		r.Merge([]Change{config(1, 1), target("a", 1, 2), target("b", 2, 9)}, at(9), start)
+		r.MergeSnapshot([]Change{config(1, 1)}, at(8), start)
 		is.Equal(states(r.BuildTable(start.Add(time.Minute))), map[string]router.State{"b": router.Serving})
 	})
 	t.Run("entries of unknown services and entries that can't be decoded are ignored", func(t *testing.T) {
@@ -103,7 +105,7 @@
 		r := NewRegistrar()
 		other := target("a", 1, 2)
 		other.Target.Service = "unknown"
-		r.Merge([]Change{config(1, 1), other, gone("b", 3), target("c", 1, 2)}, 3, start)
+		r.Merge([]Change{config(1, 1), other, gone("b", 3), target("c", 1, 2)}, at(3), start)
 		is.Equal(states(r.BuildTable(start)), map[string]router.State{"c": router.Serving})
 	})
 	// Guards against resets of flows at a target that other processes do not know
@@ -111,8 +113,8 @@
 	t.Run("a target is propagating for 500 ms unless it was there at the start", func(t *testing.T) {
 		is := is.New(t)
 		r := NewRegistrar()
-		r.Merge([]Change{config(1, 1), target("a", 1, 2)}, 2, start)
-		r.Merge([]Change{target("b", 2, 3)}, 3, start)
+		r.Merge([]Change{config(1, 1), target("a", 1, 2)}, at(2), start)
+		r.Merge([]Change{target("b", 2, 3)}, at(3), start)
 		propagating := func(after time.Duration) map[string]bool {
 			all := map[string]bool{}
 			r.BuildTable(start.Add(after)).VisitTargets(func(_ uint32, t *router.Target) { all[t.ID] = t.IsPropagating })
@@ -136,9 +138,9 @@
 		}
 		end := start.Add(time.Hour)
 		here, there := NewRegistrar(), NewRegistrar()
-		here.Merge(changes, uint64(len(changes)), start)
+		here.Merge(changes, at(uint64(len(changes))), start)
 		for _, c := range rapid.Permutation(changes).Draw(t, "order") {
-			there.Merge([]Change{c}, 0, start)
+			there.Merge([]Change{c}, at(0), start)
 		}
 		if a, b := states(here.BuildTable(end)), states(there.BuildTable(end)); fmt.Sprint(a) != fmt.Sprint(b) {
 			t.Fatalf("%v and %v", a, b)
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -57,14 +57,14 @@
 		}
 		pick := func(name string) int { return rapid.IntRange(0, len(processes)-1).Draw(t, name) }
 		readAll := func(r *Registrar) {
-			r.MergeSnapshot(slices.Collect(maps.Values(s.itemsAt(s.revision))), s.revision, now)
+			r.MergeSnapshot(slices.Collect(maps.Values(s.itemsAt(s.revision))), at(s.revision), now)
 		}
 		check := func(r *Registrar) {
 			if !r.HasConfig() {
 				return
 			}
 			want := map[string]bool{}
-			for _, c := range s.itemsAt(r.Revision()) {
+			for _, c := range s.itemsAt(r.Position().Revision) {
 				if c.Target != nil {
 					want[c.Target.ID] = true
 				}
@@ -76,7 +76,7 @@
 				}
 			})
 			if !maps.Equal(got, want) {
-				t.Fatalf("serving targets at revision %d: got %v, want %v", r.Revision(), got, want)
+				t.Fatalf("serving targets at revision %d: got %v, want %v", r.Position().Revision, got, want)
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
@@ -91,19 +91,19 @@
 			"read all": func(*rapid.T) { readAll(processes[pick("process")]) },
 			"watch": func(*rapid.T) {
 				if r := processes[pick("process")]; r.HasConfig() {
-					r.Merge(s.history[r.Revision():], s.revision, now)
+					r.Merge(s.history[r.Position().Revision:], at(s.revision), now)
 				}
 			},
 			"fetch from a peer": func(*rapid.T) {
 				to, from := processes[pick("to")], processes[pick("from")]
-				if from.Revision() <= to.Revision() {
+				if from.Position().Compare(to.Position()) <= 0 {
 					return
 				}
-				changes, isSnapshot := from.Changes(to.Revision())
+				changes, isSnapshot := from.Changes(to.Position())
 				if isSnapshot {
-					to.MergeSnapshot(changes, from.Revision(), now)
+					to.MergeSnapshot(changes, from.Position(), now)
 				} else {
-					to.Merge(changes, from.Revision(), now)
+					to.Merge(changes, from.Position(), now)
 				}
 			},
 			"restart": func(*rapid.T) { processes[pick("process")] = NewRegistrar() },
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -35,7 +35,7 @@
 		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				NewTable(config, targets, 1)
+				NewTable(config, targets, Position{Revision: 1})
 			}
 		})
 	}
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -62,13 +62,14 @@
 
 // Target is a backend server as the routing table knows it.
 type Target struct {
-	ID       string
-	Service  string
-	Zone     string // availability zone
-	Address  netip.AddrPort
-	State    State
-	Slots    int
-	Revision uint64
+	ID      string
+	Service string
+	Zone    string // availability zone
+	Address netip.AddrPort
+	State   State
+	Slots   int
+	// Position is that of the target's last change.
+	Position
 	// IsPropagating is set while the target may be missing from the tables of other
 	// processes.
 	IsPropagating bool
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -26,7 +26,7 @@
 type Table struct {
 	version     uint64
 	idleTimeout time.Duration
-	revision    uint64
+	position    Position
 	routes      map[netip.AddrPort]*Route
 	targets     map[uint32]*Target
 	rankings    map[string]*selector.Table
@@ -34,10 +34,10 @@
 }
 
 // NewTable returns a table for the configuration and targets, complete up to the
-// revision. The table keeps references to the elements of both.
-func NewTable(config Config, targets []Target, revision uint64) *Table {
+// position. The table keeps references to the elements of both.
+func NewTable(config Config, targets []Target, position Position) *Table {
 	t := &Table{
-		version: config.Version, idleTimeout: config.IdleTimeout, revision: revision, routes: make(map[netip.AddrPort]*Route, len(config.Routes)),
+		version: config.Version, idleTimeout: config.IdleTimeout, position: position, routes: make(map[netip.AddrPort]*Route, len(config.Routes)),
 		targets: make(map[uint32]*Target, len(targets)), rankings: make(map[string]*selector.Table),
 		byAddress: make(map[netip.AddrPort]uint32, len(targets)),
 	}
@@ -48,13 +48,13 @@
 	for i := range targets {
 		n := targets[i].Number()
 		t.targets[n] = &targets[i]
-		if other, ok := t.byAddress[targets[i].Address]; !ok || t.targets[other].Revision < targets[i].Revision {
+		if other, ok := t.byAddress[targets[i].Address]; !ok || t.targets[other].Compare(targets[i].Position) < 0 {
 			t.byAddress[targets[i].Address] = n
 		}
 		entries[targets[i].Service] = append(entries[targets[i].Service], selector.NewEntry(n, targetWeight))
 	}
 	for service, e := range entries {
-		t.rankings[service] = selector.NewTable(revision, e)
+		t.rankings[service] = selector.NewTable(position.Revision, e)
 	}
 	return t
 }
@@ -66,8 +66,8 @@
 // may be dropped.
 func (t *Table) IdleTimeout() time.Duration { return t.idleTimeout }
 
-// Revision returns the store revision up to which the table is complete.
-func (t *Table) Revision() uint64 { return t.revision }
+// Position returns the position of the store up to which the table is complete.
+func (t *Table) Position() Position { return t.position }
 
 // FindRoute returns the route of a published address.
 func (t *Table) FindRoute(address netip.AddrPort) (*Route, bool) {
@@ -89,7 +89,7 @@
 }
 
 // FindTargetAt returns the number and the target at an address. If several
-// targets share the address, it returns the one with the highest revision.
+// targets share the address, it returns the one that changed last.
 func (t *Table) FindTargetAt(address netip.AddrPort) (uint32, *Target, bool) {
 	n, ok := t.byAddress[address]
 	return n, t.targets[n], ok
--- a/internal/router/table_test.go
+++ b/internal/router/table_test.go
@@ -12,7 +12,7 @@
 var published = netip.MustParseAddrPort("198.18.0.1:443")
 
 func newTable(shares []Share, targets ...Target) (*Table, *Route) {
-	t := NewTable(Config{Version: 1, Routes: []Route{{Address: published, Shares: shares}}}, targets, 1)
+	t := NewTable(Config{Version: 1, Routes: []Route{{Address: published, Shares: shares}}}, targets, Position{Revision: 1})
 	route, _ := t.FindRoute(published)
 	return t, route
 }
@@ -89,7 +89,7 @@
 	t.Run("of several targets with one address the latest revision is found", func(t *testing.T) {
 		is := is.New(t)
 		a := netip.MustParseAddrPort("10.0.0.1:80")
-		table, _ := newTable(nil, Target{ID: "a", Address: a, Revision: 3}, Target{ID: "b", Address: a, Revision: 4})
+		table, _ := newTable(nil, Target{ID: "a", Address: a, Position: Position{Revision: 3}}, Target{ID: "b", Address: a, Position: Position{Revision: 4}})
 		_, target, ok := table.FindTargetAt(a)
 		is.True(ok)
 		is.Equal(target.ID, "b")
--- a/internal/runner/fleet_test.go
+++ b/internal/runner/fleet_test.go
@@ -151,7 +151,7 @@
 func (f *fleet) read(after uint64) follower.Batch {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	b := follower.Batch{Revision: f.revision, IsSnapshot: after == 0, ConfirmedAt: time.Now()}
+	b := follower.Batch{Position: router.Position{Revision: f.revision}, IsSnapshot: after == 0, ConfirmedAt: time.Now()}
 	for _, c := range f.items {
 		if c.Revision > after {
 			b.Changes = append(b.Changes, c)
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -19,8 +19,9 @@
 
 // buildBeacon returns the beacon of this process.
 func (r *Runner) buildBeacon(now time.Time) *wirepb.Beacon {
+	position := r.follower.Position()
 	b := &wirepb.Beacon{
-		Process: r.settings.Process(), Incarnation: r.incarnation, Revision: r.follower.Revision(),
+		Process: r.settings.Process(), Incarnation: r.incarnation, Epoch: position.Epoch, Revision: position.Revision,
 		ConfirmedAgeMs: uint32(max(0, r.follower.TableAge(now).Milliseconds())), Leaving: r.isStopping.Load(),
 	}
 	if r.deliverer == nil {
@@ -67,12 +68,12 @@
 				continue
 			}
 		}
-		peers = append(peers, follower.Peer{Address: p.Address, Revision: p.Revision, ConfirmedAt: p.ConfirmedAt})
+		peers = append(peers, follower.Peer{Address: p.Address, Position: p.Position, ConfirmedAt: p.ConfirmedAt})
 	}
 	return peers
 }
 
-func (r *Runner) fetchChanges(ctx context.Context, peer netip.Addr, after uint64) (follower.Batch, error) {
+func (r *Runner) fetchChanges(ctx context.Context, peer netip.Addr, after router.Position) (follower.Batch, error) {
 	return follower.FetchChanges(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()), after)
 }
 
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcupvalve.example/kingcupvalve/internal/recoverer"
+	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
@@ -51,7 +52,8 @@
 		s.detector.RecordReceived(beacon.GetTarget(), now)
 	}
 	peer := Peer{
-		Address: from, Process: beacon.GetProcess(), Incarnation: beacon.GetIncarnation(), Target: beacon.GetTarget(), Revision: beacon.GetRevision(),
+		Address: from, Process: beacon.GetProcess(), Incarnation: beacon.GetIncarnation(), Target: beacon.GetTarget(),
+		Position:    router.Position{Epoch: beacon.GetEpoch(), Revision: beacon.GetRevision()},
 		ConfirmedAt: now.Add(-time.Duration(beacon.GetConfirmedAgeMs()) * time.Millisecond),
 		Running:     int(beacon.GetRunning()), Slots: int(beacon.GetSlots()), Flows: int(beacon.GetFlows()), IsLeaving: beacon.GetLeaving(),
 		IsSilent: beacon.GetSilent(), IsSuspect: beacon.GetSuspect(), HeardAt: now,
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -33,6 +33,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"kingcupvalve.example/kingcupvalve/detector"
+	"kingcupvalve.example/kingcupvalve/internal/router"
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
@@ -80,7 +81,8 @@
 	Process     string
 	Incarnation uint64
 	Target      uint32
-	Revision    uint64
+	// Position is that of the routing table.
+	router.Position
 	ConfirmedAt time.Time
 	Running     int
 	Slots       int
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -55,7 +55,7 @@
 	started := p.startedAt
 	w.after(firstReadDelay, func() {
 		if p.isUp && p.startedAt.Equal(started) {
-			p.registrar.MergeSnapshot(w.store.items(), w.store.revision, w.now)
+			p.registrar.MergeSnapshot(w.store.items(), w.store.position(), w.now)
 			p.table = p.registrar.BuildTable(w.now)
 			w.after(w.drawDuration(tickInterval), p.requestBeacons)
 		}
@@ -77,7 +77,7 @@
 	if !p.isUp || p.table == nil {
 		return
 	}
-	if changes, revision := p.world.store.after(p.registrar.Revision()); p.registrar.Merge(changes, revision, p.world.now) {
+	if s := &p.world.store; p.registrar.Merge(s.after(p.registrar.Position()), s.position(), p.world.now) {
 		p.table = p.registrar.BuildTable(p.world.now)
 	}
 }
--- a/standin/simulator/world.go
+++ b/standin/simulator/world.go
@@ -52,9 +52,10 @@
 	s.history = append(s.history, c)
 }
 
-func (s *store) after(revision uint64) ([]registrar.Change, uint64) {
-	return s.history[revision:], s.revision
-}
+func (s *store) position() router.Position { return router.Position{Revision: s.revision} }
+
+// after returns the changes after a position.
+func (s *store) after(p router.Position) []registrar.Change { return s.history[p.Revision:] }
 
 func (s *store) items() []registrar.Change {
 	latest := map[string]registrar.Change{}
