Order states of an item across epochs by their writers' own count

Cause: a platform that comes back from an older copy lists states that were replaced before: a target that drains as ready, one that left as listed, an old configuration. Positions of the new epoch are later than all before, so callers' new flows could go to a target that had told that it leaves, until it wrote its entry again.

Change: an item carries a stamp: start of the target and number of its report, or version of the configuration. A state that a process keeps from an earlier epoch goes to peers with its own position, and wins there by its stamp.

--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -102,7 +102,9 @@
 }
 
 func encodeItem(c registrar.Change) *wirepb.TableItem {
-	item := &wirepb.TableItem{Key: c.Key, Epoch: c.Epoch, Revision: c.Revision}
+	item := &wirepb.TableItem{
+		Key: c.Key, Epoch: c.Epoch, Revision: c.Revision, StampStartedMs: c.Stamp.StartedMs, StampNumber: c.Stamp.Number,
+	}
 	if c.Config != nil {
 		item.Config = &wirepb.RoutingConfig{
 			Version: c.Config.Version, IdleTimeoutMs: uint32(c.Config.IdleTimeout.Milliseconds()), Services: c.Config.Services,
@@ -127,7 +129,10 @@
 // decodeItem converts an item to a change. A target or a route whose address
 // doesn't parse is left out, like an unreadable item of the platform.
 func decodeItem(item *wirepb.TableItem) registrar.Change {
-	change := registrar.Change{Key: item.GetKey(), Position: router.Position{Epoch: item.GetEpoch(), Revision: item.GetRevision()}}
+	change := registrar.Change{
+		Key: item.GetKey(), Position: router.Position{Epoch: item.GetEpoch(), Revision: item.GetRevision()},
+		Stamp: registrar.Stamp{StartedMs: item.GetStampStartedMs(), Number: item.GetStampNumber()},
+	}
 	if c := item.GetConfig(); c != nil {
 		change.Config = &router.Config{
 			Version: c.GetVersion(), IdleTimeout: time.Duration(c.GetIdleTimeoutMs()) * time.Millisecond, Services: c.GetServices(),
--- a/internal/follower/exchange_test.go
+++ b/internal/follower/exchange_test.go
@@ -37,7 +37,7 @@
 // restart of the peer that it fetches changes from.
 func TestExchange(t *testing.T) {
 	is := is.New(t)
-	entry := registrar.Change{Key: "t/a", Position: router.Position{Revision: 5}, Target: &router.Target{
+	entry := registrar.Change{Key: "t/a", Position: router.Position{Revision: 5}, Stamp: registrar.Stamp{StartedMs: 7, Number: 3}, Target: &router.Target{
 		ID: "a", Service: "feeds", Zone: "howrah", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2, Position: router.Position{Revision: 5}, State: router.Draining,
 	}}
 	config := registrar.Change{Key: "config", Position: router.Position{Revision: 3}, Config: &router.Config{
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -207,12 +207,12 @@
 		return
 	}
 	previous := f.registrar.Position()
-	if isBehind := r.batch.Compare(previous) < 0; isBehind {
+	if r.batch.Compare(previous) < 0 {
 		f.options.Logger.Warn().Str("source", r.source).Uint64("epoch", r.batch.Epoch).Uint64("revision", r.batch.Revision).
 			Uint64("known_epoch", previous.Epoch).Uint64("known_revision", previous.Revision).Msg("source is behind the routing table")
-		if !r.batch.IsSnapshot || r.batch.Epoch != previous.Epoch {
-			return
-		}
+	}
+	if !f.isMergeable(r.batch) {
+		return
 	}
 	var changed bool
 	if r.batch.IsSnapshot {
@@ -233,6 +233,16 @@
 	}
 }
 
+// isMergeable reports whether a batch may be merged: a snapshot of this epoch or of
+// a later one, or changes that continue the epoch.
+func (f *Follower) isMergeable(b Batch) bool {
+	known := f.registrar.Position()
+	if b.IsSnapshot {
+		return b.Epoch >= known.Epoch
+	}
+	return b.Epoch == known.Epoch && b.Compare(known) >= 0
+}
+
 // advanceConfirmedAt sets confirmedAt to a later time; an earlier one is
 // ignored.
 func (f *Follower) advanceConfirmedAt(at time.Time) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -42,7 +42,10 @@
 	v, revision := p.version.Load(), p.revision()
 	return Batch{
 		Position: router.Position{Epoch: p.epoch.Load(), Revision: revision},
-		Changes:  []registrar.Change{{Key: "config", Position: router.Position{Epoch: p.epoch.Load(), Revision: revision}, Config: &router.Config{Version: v}}},
+		Changes: []registrar.Change{{
+			Key: "config", Position: router.Position{Epoch: p.epoch.Load(), Revision: revision},
+			Stamp: registrar.Stamp{Number: v}, Config: &router.Config{Version: v},
+		}},
 	}
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,6 +5,10 @@
 // Every item carries the position of its last change in the history of the store,
 // and the later position wins. An older state therefore never replaces a newer
 // one, and the result depends neither on the order nor on the source of the items.
+// After the store came back from an older copy, the first table of the new epoch
+// may list states that were replaced before. Across epochs the stamps of the
+// writers therefore decide, see Change.supersedes.
+//
 // A removed item is kept as a tombstone with the position of its removal. A process that asks for
 // changes since before the oldest tombstone gets all items instead, because it
 // would otherwise keep the items whose removal is not known here.
@@ -49,6 +53,8 @@
 type Change struct {
 	Key string
 	router.Position
+	// Stamp of a removed item is that of its last known state.
+	Stamp  Stamp
 	Config *router.Config
 	Target *router.Target
 }
@@ -56,6 +62,22 @@
 // IsGone reports whether the item was removed or can't be decoded.
 func (c Change) IsGone() bool { return c.Config == nil && c.Target == nil }
 
+// supersedes reports whether c replaces the known state of the same item. Within
+// an epoch, the later position wins. A snapshot of a later epoch may list states of
+// the copy that the store came back from, so only a later stamp wins there; changes
+// after the snapshot, and removals, are news. A process may still hold states of an
+// earlier epoch that the copy lacks, and they win by a later stamp as well.
+func (c Change) supersedes(known Change, isSnapshot bool) bool {
+	switch {
+	case c.Epoch == known.Epoch:
+		return c.Revision > known.Revision
+	case c.Epoch < known.Epoch:
+		return !c.IsGone() && !known.IsGone() && c.Stamp.Compare(known.Stamp) > 0
+	default:
+		return c.IsGone() || !isSnapshot || c.Stamp.Compare(known.Stamp) > 0
+	}
+}
+
 // record is the latest known state of an item, also after its removal.
 type record struct {
 	change Change
@@ -88,9 +110,13 @@
 // Merge applies changes and reports whether any of them was new. Changes must
 // include every change after the registrar's position up to the given one.
 func (r *Registrar) Merge(changes []Change, position router.Position, now time.Time) bool {
+	return r.mergeAll(changes, position, false, now)
+}
+
+func (r *Registrar) mergeAll(changes []Change, position router.Position, isSnapshot bool, now time.Time) bool {
 	changed := false
 	for _, c := range changes {
-		changed = r.merge(c, now) || changed
+		changed = r.merge(c, isSnapshot, now) || changed
 	}
 	r.position = later(r.position, position)
 	return changed
@@ -111,7 +137,7 @@
 		}
 	}
 	r.oldestBase = later(r.oldestBase, position)
-	return r.Merge(all, position, now)
+	return r.mergeAll(all, position, true, now)
 }
 
 func later(a, b router.Position) router.Position {
@@ -121,12 +147,12 @@
 	return a
 }
 
-func (r *Registrar) merge(c Change, now time.Time) bool {
-	known := r.records[c.Key]
-	if known == nil {
+func (r *Registrar) merge(c Change, isSnapshot bool, now time.Time) bool {
+	known, isKnown := r.records[c.Key]
+	if !isKnown {
 		known = &record{}
 		r.records[c.Key] = known
-	} else if c.Compare(known.change.Position) <= 0 {
+	} else if !c.supersedes(known.change, isSnapshot) {
 		return false
 	}
 	if c.Config != nil && c.Config.Version > r.config.Version {
@@ -137,6 +163,9 @@
 	}
 	if c.IsGone() {
 		known.removedAt = now
+		if c.Stamp.Compare(known.change.Stamp) < 0 {
+			c.Stamp = known.change.Stamp
+		}
 	}
 	if c.Target != nil {
 		known.lastTarget = nil
