Count a removal once, also when a later epoch reports it again

Cause: a removal that arrives again with a later position set the time of the removal anew, so a target that had left took new flows for two more seconds. Peers report the removals that they know again after the platform came back from an older copy.

Evidence: TestRestoredTombstone fails before (lapsed instead of gone).

Change: the time of a removal is kept when the item is removed already.

Result: the tests of the package pass.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -162,7 +162,9 @@
 		known.lastTarget = before
 	}
 	if c.IsGone() {
-		known.removedAt = now
+		if !isKnown || !known.change.IsGone() {
+			known.removedAt = now
+		}
 		if c.Stamp.Compare(known.change.Stamp) < 0 {
 			c.Stamp = known.change.Stamp
 		}
--- a/internal/registrar/restore_test.go
+++ b/internal/registrar/restore_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"kingcupvalve.example/kingcupvalve/internal/router"
@@ -211,3 +212,17 @@
 		}
 	})
 }
+
+// TestRestoredTombstone guards against a target that left and gets new flows again
+// because a peer reports its removal once more in a later epoch.
+func TestRestoredTombstone(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistrar()
+	r.Merge([]Change{config(1, 1), target("a", 1, 2)}, at(2), start)
+	r.Merge([]Change{gone("a", 3)}, at(3), start)
+	removed := gone("a", 2)
+	removed.Epoch = 1
+	later := start.Add(5 * time.Second)
+	r.MergeSnapshot([]Change{removed}, router.Position{Epoch: 1, Revision: 2}, later)
+	is.Equal(states(r.BuildTable(later))["a"], router.Gone)
+}
