Fetch a newer configuration from peers at the same position

Cause: a process that starts after the platform came back from an older copy, and before the operator has written the configuration again, reads the old one. Its position equals that of the peers, which keep the newer configuration by its stamp, so it fetched nothing and callers were handled as by the old version.

Evidence: the first subtest of TestRestoredPeers fails before (version 10, want 11). The third hypothesis, that peers with the lost history hold others back, is refuted for positions: the second subtest passes, and fails with a Compare that ignores the epoch (a trial, reverted), as do 6 subtests of TestRestoredPlatform and TestRestoredStore.

Change: beacons carry the version of the configuration. A process fetches everything from a peer of its epoch with a higher version, and such a peer does not confirm its table. A fetch that brings nothing is repeated after 300 ms, as a failed one is, since beacons may be forged.

Result: tests of the package pass.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -23,7 +23,8 @@
 	// far above router.MaxConclusiveAge, so that nothing is concluded from entries
 	// that the empty table lacks.
 	initialTableAge = 24 * time.Hour
-	// fetchRetryDelay is the wait after a failed fetch from a peer.
+	// fetchRetryDelay is the wait after a fetch from a peer that failed or brought
+	// nothing.
 	fetchRetryDelay = 300 * time.Millisecond
 )
 
@@ -222,6 +223,9 @@
 	}
 	position := f.registrar.Position()
 	f.position.Store(&position)
+	if r.peer.IsValid() && !changed && position == previous {
+		f.nextFetch = now.Add(fetchRetryDelay)
+	}
 	if r.batch.Compare(position) >= 0 {
 		f.advanceConfirmedAt(r.batch.ConfirmedAt)
 	}
@@ -294,31 +298,40 @@
 }
 
 // syncWithPeers confirms the table from the beacons of peers at the same
-// position, and fetches changes from the peer with the newest table.
+// position, and fetches changes from the peer with the newest table. A peer of the
+// same epoch may have a newer configuration at the same position, if the platform
+// lost it; then everything is fetched.
 func (f *Follower) syncWithPeers(ctx context.Context, now time.Time) {
-	var newest Peer
+	known, version := f.registrar.Position(), f.Table().Version()
+	var newest, newestConfig Peer
 	for _, p := range f.options.Peers() {
-		if p.Position == f.registrar.Position() && f.registrar.HasConfig() {
+		if p.Position == known && p.Version <= version && f.registrar.HasConfig() {
 			f.advanceConfirmedAt(p.ConfirmedAt)
 		}
 		if p.Compare(newest.Position) > 0 {
 			newest = p
 		}
+		if p.Epoch == known.Epoch && p.Version > newestConfig.Version {
+			newestConfig = p
+		}
 	}
 	if f.isFetching || now.Before(f.nextFetch) {
 		return
 	}
-	if newest.Compare(f.registrar.Position()) > 0 {
-		f.fetchFromPeer(ctx, newest.Address)
-	} else if seeds := f.options.Seeds(); !f.registrar.HasConfig() && len(seeds) > 0 {
+	seeds := f.options.Seeds()
+	switch {
+	case newest.Compare(known) > 0:
+		f.fetchFromPeer(ctx, newest.Address, known)
+	case f.registrar.HasConfig() && newestConfig.Version > version:
+		f.fetchFromPeer(ctx, newestConfig.Address, router.Position{})
+	case !f.registrar.HasConfig() && len(seeds) > 0:
 		f.seedCursor++
-		f.fetchFromPeer(ctx, seeds[f.seedCursor%len(seeds)])
+		f.fetchFromPeer(ctx, seeds[f.seedCursor%len(seeds)], known)
 	}
 }
 
-func (f *Follower) fetchFromPeer(ctx context.Context, peer netip.Addr) {
+func (f *Follower) fetchFromPeer(ctx context.Context, peer netip.Addr, after router.Position) {
 	f.isFetching = true
-	after := f.registrar.Position()
 	f.reads.Go(func() {
 		fetchContext, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
--- a/internal/follower/restore_test.go
+++ b/internal/follower/restore_test.go
@@ -1,11 +1,17 @@
 package follower
 
 import (
+	"context"
 	"fmt"
+	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"kingcupvalve.example/kingcupvalve/internal/registrar"
+	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
 // TestRestoredPlatform guards against a confirmed configuration that never comes
@@ -33,3 +39,75 @@
 		}
 	}
 }
+
+// TestRestoredPeers guards against tables that differ because some processes know
+// what the platform lost and others do not.
+func TestRestoredPeers(t *testing.T) {
+	peer := netip.MustParseAddr("10.0.0.2")
+	// run starts a follower with one peer, whose position and version do not change.
+	run := func(t *testing.T, state Peer, fetches *atomic.Int64, test func(is *is.I, f *Follower)) {
+		p := newFakePlatform(10)
+		p.restore(3)
+		runFollower(t, p, func(o *Options) {
+			o.Peers = func() []Peer {
+				state.Address, state.ConfirmedAt = peer, time.Now()
+				return []Peer{state}
+			}
+			o.FetchChanges = func(_ context.Context, _ netip.Addr, after router.Position) (Batch, error) {
+				fetches.Add(1)
+				b := Batch{Position: state.Position, IsSnapshot: after.IsZero(), ConfirmedAt: time.Now()}
+				config := registrar.Change{Key: "config", Position: router.Position{Revision: 16}, Stamp: registrar.Stamp{Number: state.Version}}
+				config.Config = &router.Config{Version: state.Version}
+				if config.Compare(after) > 0 {
+					b.Changes = append(b.Changes, config)
+				}
+				return b, nil
+			}
+		}, test)
+	}
+	t.Run("a process that started later gets a configuration that the platform lost from a peer", func(t *testing.T) {
+		var fetches atomic.Int64
+		run(t, Peer{Position: router.Position{Epoch: 1, Revision: 7}, Version: 11}, &fetches, func(is *is.I, f *Follower) {
+			<-f.Ready()
+			time.Sleep(200 * time.Millisecond)
+			is.Equal(f.Table().Version(), uint64(11))
+			is.Equal(f.Position(), router.Position{Epoch: 1, Revision: 7})
+			before := fetches.Load()
+			time.Sleep(10 * time.Second)
+			is.Equal(fetches.Load(), before)
+		})
+	})
+	t.Run("a peer with the table of an earlier epoch neither changes nor confirms the table", func(t *testing.T) {
+		var fetches atomic.Int64
+		run(t, Peer{Position: router.Position{Revision: 16}, Version: 11}, &fetches, func(is *is.I, f *Follower) {
+			<-f.Ready()
+			f.AddTableAge(time.Minute)
+			age := f.TableAge(time.Now())
+			time.Sleep(60 * time.Millisecond)
+			is.True(f.TableAge(time.Now()) >= age)
+			is.Equal(f.Table().Version(), uint64(10))
+			is.Equal(fetches.Load(), int64(0))
+		})
+	})
+	// A beacon may be forged or damaged.
+	t.Run("a peer that does not have the version that it announces is asked at most four times a second", func(t *testing.T) {
+		p := newFakePlatform(10)
+		var fetches atomic.Int64
+		runFollower(t, p, func(o *Options) {
+			o.Peers = func() []Peer {
+				return []Peer{{Address: peer, Position: router.Position{Revision: 10}, Version: 1 << 60, ConfirmedAt: time.Now()}}
+			}
+			o.FetchChanges = func(context.Context, netip.Addr, router.Position) (Batch, error) {
+				fetches.Add(1)
+				b := p.batch()
+				b.IsSnapshot = true
+				return b, nil
+			}
+		}, func(is *is.I, f *Follower) {
+			<-f.Ready()
+			time.Sleep(10 * time.Second)
+			is.True(fetches.Load() <= 40)
+			is.Equal(f.Table().Version(), uint64(10))
+		})
+	})
+}
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -42,5 +42,7 @@
 type Peer struct {
 	Address netip.Addr
 	router.Position
+	// Version is that of the configuration.
+	Version     uint64
 	ConfirmedAt time.Time
 }
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -19,9 +19,11 @@
 
 // buildBeacon returns the beacon of this process.
 func (r *Runner) buildBeacon(now time.Time) *wirepb.Beacon {
-	position := r.follower.Position()
+	// The version is read first: if it is from an earlier table than the position, it
+	// only delays a fetch.
+	version, position := r.follower.Table().Version(), r.follower.Position()
 	b := &wirepb.Beacon{
-		Process: r.settings.Process(), Incarnation: r.incarnation, Epoch: position.Epoch, Revision: position.Revision,
+		Process: r.settings.Process(), Incarnation: r.incarnation, Epoch: position.Epoch, Revision: position.Revision, ConfigVersion: version,
 		ConfirmedAgeMs: uint32(max(0, r.follower.TableAge(now).Milliseconds())), Leaving: r.isStopping.Load(),
 	}
 	if r.deliverer == nil {
@@ -68,7 +70,7 @@
 				continue
 			}
 		}
-		peers = append(peers, follower.Peer{Address: p.Address, Position: p.Position, ConfirmedAt: p.ConfirmedAt})
+		peers = append(peers, follower.Peer{Address: p.Address, Position: p.Position, Version: p.Version, ConfirmedAt: p.ConfirmedAt})
 	}
 	return peers
 }
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -81,8 +81,9 @@
 	Process     string
 	Incarnation uint64
 	Target      uint32
-	// Position is that of the routing table.
+	// Position is that of the routing table, and Version that of its configuration.
 	router.Position
+	Version     uint64
 	ConfirmedAt time.Time
 	Running     int
 	Slots       int
