Let the store of the soak come back from older copies, and probe changing routes

Its store never came back from an older copy, and no caller used the route that configurations add and remove, so the check of removed routes could not fail either.

A probe opens flows on the changing route: in the steady state they open if and only if the route has been published, or removed, for 3 s. Targets count their reports and keep their start, as the platform's do.

--- a/standin/soaker/environment.go
+++ b/standin/soaker/environment.go
@@ -163,6 +163,13 @@
 	e.store.Put(standin.ConfigKey, config)
 }
 
+// rewriteConfig writes the last configuration again.
+func (e *environment) rewriteConfig() {
+	e.lock.Lock()
+	defer e.lock.Unlock()
+	e.store.Put(standin.ConfigKey, e.config)
+}
+
 // selectBalancer returns the address of the balancer that receives a packet. It
 // hashes the flow over the ready balancers as the platform's routers do, and
 // over all of them if none is ready.
--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -38,6 +38,9 @@
 	// Balancers, Feeds and Bundles are the numbers of balancers and of agents of
 	// each service. The defaults 2, 4 and 2 apply when Balancers is 0.
 	Balancers, Feeds, Bundles int
+	// HasRestores adds returns of the store from an older copy to the faults, which
+	// are otherwise those of the seed without it.
+	HasRestores bool
 }
 
 func (o Options) withDefaults() (Options, error) {
@@ -98,6 +101,11 @@
 			group.Go(func() { s.runCaller(ctx, host, random) })
 		}
 	}
+	host, err := e.newCallerHost(netip.AddrFrom4([4]byte{127, 200, callerHosts, byte(e.options.Seed%250 + 1)}))
+	if err != nil {
+		return nil, fmt.Errorf("start route probe: %w", err)
+	}
+	group.Go(func() { s.probeRoute(ctx, host) })
 	s.injectFaults(ctx)
 	// Run on without faults so that steady-state guarantees are checked after
 	// recovery.
--- a/standin/soaker/target.go
+++ b/standin/soaker/target.go
@@ -34,6 +34,8 @@
 	flows           map[uint64]*flowState
 	draining        time.Time
 	isClosed        bool
+	startedAt       time.Time
+	reports         int
 }
 
 type flowState struct {
@@ -49,25 +51,40 @@
 	}
 	t := &target{
 		environment: e, id: fmt.Sprintf("i-%d", e.nextID()), service: service, address: address, outboundAddress: outbound, conn: conn,
-		flows: map[uint64]*flowState{},
+		flows: map[uint64]*flowState{}, startedAt: time.Now(),
 	}
 	go t.serve()
-	t.publish("ready")
+	t.publish()
 	return t, nil
 }
 
-func (t *target) publish(state string) {
+// publish writes the entry of the target unless the target is closed.
+func (t *target) publish() {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	if !t.isClosed {
+		t.publishLocked()
+	}
+}
+
+func (t *target) publishLocked() {
+	state := "ready"
+	if !t.draining.IsZero() {
+		state = "draining"
+	}
+	t.reports++
 	t.environment.store.Put(standin.EntryKey(t.id), standin.Entry{
-		Service: t.service, Address: t.address.String(), Zone: zone, Version: "v1", Slots: 4, State: state, Born: time.Now().UnixMilli(),
+		Service: t.service, Address: t.address.String(), Zone: zone, Version: "v1", Slots: 4, State: state,
+		Sequence: t.reports, Born: t.startedAt.UnixMilli(),
 	})
 }
 
 // drain publishes the target as draining.
 func (t *target) drain() {
-	t.publish("draining")
 	t.lock.Lock()
+	defer t.lock.Unlock()
 	t.draining = time.Now()
-	t.lock.Unlock()
+	t.publishLocked()
 }
 
 // close closes the socket of the target. Its store entry stays until it is
