Order host lists by epoch and version

The host list of the HTTP/3 way of serving is ordered by the platform's version alone. After the platform came back from an older copy, a host that was removed or added at a version which had been given out before was not seen: callers' requests could go to a host that had left. Heads are ordered by the operator's own revision and read anew after each watch, so they are not affected.

Evidence: the new subtest of TestFleet fails before (32 hosts instead of 31).

Change: the API of the platform states an optional epoch with the host list and takes one with the version; a list of a later epoch replaces the known one as a whole, and peers send it as a whole. Platforms without epochs are of epoch 0. The stand-in begins an epoch with each return to a copy.

Result: TestFleet, TestRestoredHosts and the other tests of watcher, agent and the stand-in pass with the race detector.

--- a/internal/api/platform/oas_client_gen.go
+++ b/internal/api/platform/oas_client_gen.go
@@ -23,8 +23,8 @@
 type Invoker interface {
 	// ListHosts invokes listHosts operation.
 	//
-	// Lists the changes of the host list after a version. Version 0 lists every host. With wait_ms the
-	// call is a watch.
+	// Lists the changes of the host list after a version of an epoch. Version 0, or an epoch that is not
+	// the current one, lists every host. With wait_ms the call is a watch.
 	//
 	// GET /v1/hosts
 	ListHosts(ctx context.Context, params ListHostsParams) (ListHostsRes, error)
@@ -78,8 +78,8 @@
 
 // ListHosts invokes listHosts operation.
 //
-// Lists the changes of the host list after a version. Version 0 lists every host. With wait_ms the
-// call is a watch.
+// Lists the changes of the host list after a version of an epoch. Version 0, or an epoch that is not
+// the current one, lists every host. With wait_ms the call is a watch.
 //
 // GET /v1/hosts
 func (c *Client) ListHosts(ctx context.Context, params ListHostsParams) (ListHostsRes, error) {
@@ -95,6 +95,23 @@
 	uri.AddPathParts(u, pathParts[:]...)
 
 	q := uri.NewQueryEncoder()
+	{
+		// Encode "after_epoch" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "after_epoch",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.AfterEpoch.Get(); ok {
+				return e.EncodeValue(conv.Int64ToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
 	{
 		// Encode "after_version" parameter.
 		cfg := uri.QueryParameterEncodingConfig{
--- a/internal/api/platform/oas_handlers_gen.go
+++ b/internal/api/platform/oas_handlers_gen.go
@@ -30,8 +30,8 @@
 
 // handleListHostsRequest handles listHosts operation.
 //
-// Lists the changes of the host list after a version. Version 0 lists every host. With wait_ms the
-// call is a watch.
+// Lists the changes of the host list after a version of an epoch. Version 0, or an epoch that is not
+// the current one, lists every host. With wait_ms the call is a watch.
 //
 // GET /v1/hosts
 func (s *Server) handleListHostsRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -69,6 +69,10 @@
 			Body:             nil,
 			RawBody:          rawBody,
 			Params: middleware.Parameters{
+				{
+					Name: "after_epoch",
+					In:   "query",
+				}: params.AfterEpoch,
 				{
 					Name: "after_version",
 					In:   "query",
--- a/internal/api/platform/oas_json_gen.go
+++ b/internal/api/platform/oas_json_gen.go
@@ -20,6 +20,12 @@
 
 // encodeFields encodes fields.
 func (s *HostChanges) encodeFields(e *jx.Encoder) {
+	{
+		if s.Epoch.Set {
+			e.FieldStart("epoch")
+			s.Epoch.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("version")
 		e.Int64(s.Version)
@@ -34,9 +40,10 @@
 	}
 }
 
-var jsonFieldsNameOfHostChanges = [2]string{
-	0: "version",
-	1: "hosts",
+var jsonFieldsNameOfHostChanges = [3]string{
+	0: "epoch",
+	1: "version",
+	2: "hosts",
 }
 
 // Decode decodes HostChanges from json.
@@ -48,8 +55,18 @@
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
+		case "epoch":
+			if err := func() error {
+				s.Epoch.Reset()
+				if err := s.Epoch.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"epoch\"")
+			}
 		case "version":
-			requiredBitSet[0] |= 1 << 0
+			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
 				v, err := d.Int64()
 				s.Version = int64(v)
@@ -61,7 +78,7 @@
 				return errors.Wrap(err, "decode field \"version\"")
 			}
 		case "hosts":
-			requiredBitSet[0] |= 1 << 1
+			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
 				s.Hosts = make([]HostState, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -88,7 +105,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b00000011,
+		0b00000110,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -410,6 +427,41 @@
 	return s.Decode(d)
 }
 
+// Encode encodes int64 as json.
+func (o OptInt64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int64(int64(o.Value))
+}
+
+// Decode decodes int64 from json.
+func (o *OptInt64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt64 to nil")
+	}
+	o.Set = true
+	v, err := d.Int64()
+	if err != nil {
+		return err
+	}
+	o.Value = int64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes string as json.
 func (o OptString) Encode(e *jx.Encoder) {
 	if !o.Set {
--- a/internal/api/platform/oas_parameters_gen.go
+++ b/internal/api/platform/oas_parameters_gen.go
@@ -16,11 +16,21 @@
 
 // ListHostsParams is parameters of listHosts operation.
 type ListHostsParams struct {
+	AfterEpoch   OptInt64 `json:",omitempty,omitzero"`
 	AfterVersion OptInt64 `json:",omitempty,omitzero"`
 	WaitMs       OptInt64 `json:",omitempty,omitzero"`
 }
 
 func unpackListHostsParams(packed middleware.Parameters) (params ListHostsParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "after_epoch",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.AfterEpoch = v.(OptInt64)
+		}
+	}
 	{
 		key := middleware.ParameterKey{
 			Name: "after_version",
@@ -44,6 +54,72 @@
 
 func decodeListHostsParams(args [0]string, argsEscaped bool, r *http.Request) (params ListHostsParams, _ error) {
 	q := uri.NewQueryDecoder(r.URL.Query())
+	// Decode query: after_epoch.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "after_epoch",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotAfterEpochVal int64
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt64(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotAfterEpochVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.AfterEpoch.SetTo(paramsDotAfterEpochVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.AfterEpoch.Get(); ok {
+					if err := func() error {
+						if err := (validate.Int{
+							MinSet:        true,
+							Min:           0,
+							MaxSet:        false,
+							Max:           0,
+							MinExclusive:  false,
+							MaxExclusive:  false,
+							MultipleOfSet: false,
+							MultipleOf:    0,
+							Pattern:       nil,
+						}).Validate(int64(value)); err != nil {
+							return errors.Wrap(err, "int")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "after_epoch",
+			In:   "query",
+			Err:  err,
+		}
+	}
 	// Decode query: after_version.
 	if err := func() error {
 		cfg := uri.QueryParameterDecodingConfig{
--- a/internal/api/platform/oas_schemas_gen.go
+++ b/internal/api/platform/oas_schemas_gen.go
@@ -10,10 +10,18 @@
 
 // Ref: #/components/schemas/HostChanges
 type HostChanges struct {
+	// Number of times that the platform came back from an older copy of its data and gave out versions
+	// again. 0 if it is left out.
+	Epoch   OptInt64    `json:"epoch"`
 	Version int64       `json:"version"`
 	Hosts   []HostState `json:"hosts"`
 }
 
+// GetEpoch returns the value of Epoch.
+func (s *HostChanges) GetEpoch() OptInt64 {
+	return s.Epoch
+}
+
 // GetVersion returns the value of Version.
 func (s *HostChanges) GetVersion() int64 {
 	return s.Version
@@ -24,6 +32,11 @@
 	return s.Hosts
 }
 
+// SetEpoch sets the value of Epoch.
+func (s *HostChanges) SetEpoch(val OptInt64) {
+	s.Epoch = val
+}
+
 // SetVersion sets the value of Version.
 func (s *HostChanges) SetVersion(val int64) {
 	s.Version = val
--- a/internal/api/platform/oas_server_gen.go
+++ b/internal/api/platform/oas_server_gen.go
@@ -10,8 +10,8 @@
 type Handler interface {
 	// ListHosts implements listHosts operation.
 	//
-	// Lists the changes of the host list after a version. Version 0 lists every host. With wait_ms the
-	// call is a watch.
+	// Lists the changes of the host list after a version of an epoch. Version 0, or an epoch that is not
+	// the current one, lists every host. With wait_ms the call is a watch.
 	//
 	// GET /v1/hosts
 	ListHosts(ctx context.Context, params ListHostsParams) (ListHostsRes, error)
--- a/internal/watcher/announce.go
+++ b/internal/watcher/announce.go
@@ -43,13 +43,13 @@
 }
 
 func (l *logic) sendHosts(now time.Time, k *link) {
-	if !k.wantsHosts || !l.hosts.known || k.hostVersion >= l.hosts.version {
+	if !k.wantsHosts || !l.hosts.known || k.hosts.compare(l.hosts.hostPosition) >= 0 {
 		return
 	}
-	for _, m := range hostMessages(l.hosts.changesAfter(k.hostVersion)) {
+	for _, m := range hostMessages(l.hosts.changesAfter(k.hosts)) {
 		l.effects.send(k.id, m)
 	}
-	k.hostVersion, k.sentAt = l.hosts.version, now
+	k.hosts, k.sentAt = l.hosts.hostPosition, now
 }
 
 // tickHeartbeats sends heartbeats to the peers that connected to this process. A
--- a/internal/watcher/calls.go
+++ b/internal/watcher/calls.go
@@ -73,10 +73,10 @@
 	switch {
 	case l.isWatching():
 		l.hostCall.begin(now, HostWatchTimeout)
-		l.effects.readHosts(l.hosts.version, HostWatchTimeout)
+		l.effects.readHosts(l.hosts.hostPosition, HostWatchTimeout)
 	case l.orphaned || !l.hosts.known:
 		l.hostCall.begin(now, 0)
-		l.effects.readHosts(l.hosts.version, 0)
+		l.effects.readHosts(l.hosts.hostPosition, 0)
 	}
 }
 
--- a/internal/watcher/client.go
+++ b/internal/watcher/client.go
@@ -110,16 +110,23 @@
 	return content, nil
 }
 
-func (c *platformClient) readHosts(ctx context.Context, after uint64, wait time.Duration) hostsResult {
+func (c *platformClient) readHosts(ctx context.Context, after hostPosition, wait time.Duration) hostsResult {
 	ctx, cancel := callContext(ctx, wait)
 	defer cancel()
-	response, err := c.api.ListHosts(ctx, api.ListHostsParams{AfterVersion: api.NewOptInt64(int64(after)), WaitMs: optWait(wait)})
+	response, err := c.api.ListHosts(ctx, api.ListHostsParams{
+		AfterEpoch: api.NewOptInt64(int64(after.epoch)), AfterVersion: api.NewOptInt64(int64(after.version)), WaitMs: optWait(wait),
+	})
 	if err != nil {
 		return hostsResult{err: merry.Prepend(err, "list hosts")}
 	}
 	switch r := response.(type) {
 	case *api.HostChanges:
-		changes := hostChanges{from: after, to: uint64(max(r.Version, 0)), entries: make([]hostEntry, 0, len(r.Hosts))}
+		changes := hostChanges{
+			epoch: uint64(max(r.Epoch.Or(0), 0)), from: after.version, to: uint64(max(r.Version, 0)), entries: make([]hostEntry, 0, len(r.Hosts)),
+		}
+		if changes.epoch != after.epoch {
+			changes.from = 0 // the answer is the whole list
+		}
 		for _, h := range r.Hosts {
 			changes.entries = append(changes.entries, hostEntry{
 				spec: cataloger.HostSpec{
--- a/internal/watcher/effects.go
+++ b/internal/watcher/effects.go
@@ -40,7 +40,7 @@
 				}, r.err
 			})
 		},
-		readHosts: func(after uint64, wait time.Duration) {
+		readHosts: func(after hostPosition, wait time.Duration) {
 			w.call(ctx, func() (func(time.Time), error) {
 				r := w.platform.readHosts(ctx, after, wait)
 				return func(now time.Time) { w.logic.hostsRead(now, r) }, r.err
--- a/internal/watcher/fleet_test.go
+++ b/internal/watcher/fleet_test.go
@@ -248,4 +248,28 @@
 			}
 		}
 	})
+	// Guards against a host that is never seen because the platform gives out the
+	// versions of its host list again.
+	t.Run("the host list of a platform that comes back from an older copy reaches every process", func(t *testing.T) {
+		for _, written := range []int{1, 2, 3} {
+			is := is.New(t)
+			s := newFleet(6, 30, false, "a", "b")
+			older := s.platform.copyHosts()
+			s.platform.setHost(s.nodes[4], cataloger.HostLeaving)
+			s.platform.setHost(s.nodes[4], cataloger.HostLive)
+			s.advance(2 * time.Second)
+			s.platform.restoreHosts(older)
+			s.kill(s.nodes[5])
+			for range written {
+				s.platform.setHost(s.nodes[5], cataloger.HostRemoved)
+			}
+			s.advance(5 * time.Second)
+			for _, n := range s.nodes {
+				if n.alive {
+					is.Equal(n.logic.hosts.version, s.platform.hosts.version)
+					is.Equal(len(n.logic.hosts.specs()), len(s.nodes)-1)
+				}
+			}
+		}
+	})
 }
--- a/internal/watcher/fuzz_test.go
+++ b/internal/watcher/fuzz_test.go
@@ -23,7 +23,7 @@
 	}
 	hosts := hostMessages(hostChanges{to: 2, entries: []hostEntry{{spec: cataloger.HostSpec{Name: "h"}, version: 2}}})
 	for _, m := range []*wirepb.Envelope{
-		headMessage(head), sectionRequest(head.Sections()), hostRequest(1), helloMessage("p", 9), hosts[0],
+		headMessage(head), sectionRequest(head.Sections()), hostRequest(hostPosition{version: 1}), helloMessage("p", 9), hosts[0],
 		sectionReply(refMessages(head.Sections())[0], []byte("x"), nil, true),
 		sectionReply(refMessages(head.Sections())[0], nil, compress(bytes.Repeat([]byte("x"), 99)), true), headDelta(head, head),
 		{},
--- a/internal/watcher/hosts.go
+++ b/internal/watcher/hosts.go
@@ -27,27 +27,43 @@
 
 func (e hostEntry) isRemoved() bool { return e.spec.State == cataloger.HostRemoved }
 
+// hostPosition says how new a host list is. The platform gives out versions again
+// after it came back from an older copy of its data, and counts these returns as
+// epochs.
+type hostPosition struct {
+	epoch   uint64
+	version uint64
+}
+
+// compare orders positions by epoch and then by version.
+func (p hostPosition) compare(other hostPosition) int {
+	return cmp.Or(cmp.Compare(p.epoch, other.epoch), cmp.Compare(p.version, other.version))
+}
+
 // hostChanges is the whole host list if from is 0, otherwise the changes after
-// version from.
+// version from of the epoch.
 type hostChanges struct {
+	epoch   uint64
 	from    uint64
 	to      uint64
 	entries []hostEntry
 }
 
-// hostTable is the host list by name. Its version never decreases.
+// hostTable is the host list by name. Its position never decreases.
 type hostTable struct {
-	known   bool
-	version uint64
-	// oldestDeltaBase is the lowest version from which changes can be computed:
-	// all removals after it are still kept.
+	known bool
+	hostPosition
+	// oldestDeltaBase is the lowest version of the epoch from which changes can be
+	// computed: all removals after it are still kept.
 	oldestDeltaBase uint64
 	entries         map[string]hostEntry
 }
 
 // apply merges changes and reports whether the table changed.
 func (t *hostTable) apply(c hostChanges) bool {
-	if t.known && (c.to <= t.version || c.from > t.version) {
+	to := hostPosition{epoch: c.epoch, version: c.to}
+	continues := c.epoch == t.epoch && c.from <= t.version
+	if t.known && (to.compare(t.hostPosition) <= 0 || c.from > 0 && !continues) {
 		return false
 	}
 	if c.from == 0 || t.entries == nil {
@@ -59,7 +75,7 @@
 			t.entries[e.spec.Name] = e
 		}
 	}
-	t.known, t.version = true, c.to
+	t.known, t.hostPosition = true, to
 	t.pruneRemoved()
 	return true
 }
@@ -83,11 +99,11 @@
 	}
 }
 
-// changesAfter returns the changes that a peer with the given version lacks, or
-// the whole list if its version is below oldestDeltaBase.
-func (t *hostTable) changesAfter(version uint64) hostChanges {
-	c := hostChanges{from: version, to: t.version}
-	if version < t.oldestDeltaBase {
+// changesAfter returns the changes that a peer at the given position lacks, or the
+// whole list if the position is of another epoch or before oldestDeltaBase.
+func (t *hostTable) changesAfter(p hostPosition) hostChanges {
+	c := hostChanges{epoch: t.epoch, from: p.version, to: t.version}
+	if p.epoch != t.epoch || p.version < t.oldestDeltaBase {
 		c.from = 0
 	}
 	for _, e := range t.entries {
@@ -140,7 +156,7 @@
 	var messages []*wirepb.Envelope
 	for {
 		n := min(len(c.entries), maxHostsPerMessage)
-		delta := &wirepb.HostDelta{FromVersion: c.from}
+		delta := &wirepb.HostDelta{Epoch: c.epoch, FromVersion: c.from}
 		for _, e := range c.entries[:n] {
 			delta.Hosts = append(delta.Hosts, &wirepb.HostEntry{
 				Name: e.spec.Name, Role: e.spec.Role, AvailabilityZone: e.spec.AvailabilityZone, State: e.spec.State,
--- a/internal/watcher/links.go
+++ b/internal/watcher/links.go
@@ -53,11 +53,12 @@
 	sent [3]keeper.Hash
 	// deltaBase is the accepted head last sent to the peer, the base of the next
 	// delta.
-	deltaBase    keeper.Head
-	sentAt       time.Time
-	requestedAt  time.Time
-	wantsHosts   bool
-	hostVersion  uint64
+	deltaBase   keeper.Head
+	sentAt      time.Time
+	requestedAt time.Time
+	wantsHosts  bool
+	// hosts is how new the host list of the peer is.
+	hosts        hostPosition
 	pendingHosts []hostEntry
 }
 
@@ -174,7 +175,7 @@
 	if k.isOutgoing() {
 		k.requestedAt, k.sentAt = now, now
 		l.effects.send(id, helloMessage(l.name, l.announcedRevision()))
-		l.effects.send(id, hostRequest(l.hosts.version))
+		l.effects.send(id, hostRequest(l.hosts.hostPosition))
 	}
 	return true
 }
@@ -215,7 +216,8 @@
 	case *wirepb.Envelope_SectionReply:
 		return l.receiveSection(now, k, body.SectionReply)
 	case *wirepb.Envelope_HostRequest:
-		k.wantsHosts, k.hostVersion = !k.isOutgoing(), body.HostRequest.GetAfterVersion()
+		k.wantsHosts = !k.isOutgoing()
+		k.hosts = hostPosition{epoch: body.HostRequest.GetAfterEpoch(), version: body.HostRequest.GetAfterVersion()}
 		k.resetSent()
 		l.sendHosts(now, k)
 		l.sendHeads(now, k)
@@ -236,7 +238,7 @@
 	knownHead := slices.ContainsFunc(k.announced, func(h keeper.Head) bool { return h.Revision() >= revision })
 	if revision > own && !knownHead && now.Sub(k.requestedAt) >= HeartbeatInterval {
 		k.requestedAt = now
-		l.effects.send(k.id, hostRequest(l.hosts.version))
+		l.effects.send(k.id, hostRequest(l.hosts.hostPosition))
 	}
 	if revision < own {
 		if now.Sub(k.sentAt) >= HeartbeatInterval {
@@ -330,8 +332,10 @@
 	if delta.GetToVersion() == 0 {
 		return // more messages follow
 	}
-	c := hostChanges{from: delta.GetFromVersion(), to: delta.GetToVersion(), entries: k.pendingHosts}
+	c := hostChanges{epoch: delta.GetEpoch(), from: delta.GetFromVersion(), to: delta.GetToVersion(), entries: k.pendingHosts}
 	k.pendingHosts = nil
-	k.hostVersion = max(k.hostVersion, c.to)
+	if to := (hostPosition{epoch: c.epoch, version: c.to}); to.compare(k.hosts) > 0 {
+		k.hosts = to
+	}
 	l.applyHosts(now, c)
 }
--- a/internal/watcher/logic.go
+++ b/internal/watcher/logic.go
@@ -67,7 +67,7 @@
 // do not block; results are passed back by calling methods of the logic.
 type effects struct {
 	readHead    func(after int64, wait time.Duration)
-	readHosts   func(after uint64, wait time.Duration)
+	readHosts   func(after hostPosition, wait time.Duration)
 	readSection func(ref keeper.SectionRef)
 	connect     func(id string, address netip.AddrPort)
 	disconnect  func(id string)
--- a/internal/watcher/sim_network_test.go
+++ b/internal/watcher/sim_network_test.go
@@ -50,7 +50,7 @@
 func (s *sim) effects(n *simNode) effects {
 	return effects{
 		readHead:    func(after int64, wait time.Duration) { s.platform.readHead(n, after, wait) },
-		readHosts:   func(after uint64, wait time.Duration) { s.platform.readHosts(n, after, wait) },
+		readHosts:   func(after hostPosition, wait time.Duration) { s.platform.readHosts(n, after, wait) },
 		readSection: func(ref keeper.SectionRef) { s.platform.readSection(n, ref) },
 		connect:     func(id string, address netip.AddrPort) { s.connect(n, id, address) },
 		disconnect: func(id string) {
--- a/internal/watcher/sim_platform_test.go
+++ b/internal/watcher/sim_platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,7 +40,8 @@
 
 type simWatch struct {
 	node  *simNode
-	after int64 // head version, or host version when hosts is set
+	after int64 // head version, or host version of the epoch when hosts is set
+	epoch uint64
 	hosts bool
 	done  bool
 }
@@ -114,7 +116,20 @@
 		},
 		version: p.hosts.version + 1,
 	}
-	p.hosts.apply(hostChanges{from: p.hosts.version, to: entry.version, entries: []hostEntry{entry}})
+	p.hosts.apply(hostChanges{epoch: p.hosts.epoch, from: p.hosts.version, to: entry.version, entries: []hostEntry{entry}})
+	p.answerWatches()
+}
+
+func (p *simPlatform) copyHosts() hostTable {
+	table := p.hosts
+	table.entries = maps.Clone(p.hosts.entries)
+	return table
+}
+
+// restoreHosts makes the platform come back with a copy of its host list.
+func (p *simPlatform) restoreHosts(table hostTable) {
+	table.epoch = p.hosts.epoch + 1
+	p.hosts = table
 	p.answerWatches()
 }
 
@@ -138,7 +153,7 @@
 	v := p.visible()
 	hasNews := v.version > w.after
 	if w.hosts {
-		hasNews = int64(p.hosts.version) > w.after
+		hasNews = p.hosts.compare(hostPosition{epoch: w.epoch, version: uint64(w.after)}) > 0
 	}
 	if !unreachable && !hasNews && !timedOut {
 		return
@@ -150,7 +165,7 @@
 		if unreachable {
 			r = hostsResult{err: errUnreachable}
 		} else if hasNews {
-			r.changes = p.hosts.changesAfter(uint64(w.after))
+			r.changes = p.hosts.changesAfter(hostPosition{epoch: w.epoch, version: uint64(w.after)})
 		}
 		s.deliver(n, s.latency(), func() { n.logic.hostsRead(s.now, r) })
 		return
@@ -183,9 +198,9 @@
 	p.read(&simWatch{node: n, after: after}, wait)
 }
 
-func (p *simPlatform) readHosts(n *simNode, after uint64, wait time.Duration) {
+func (p *simPlatform) readHosts(n *simNode, after hostPosition, wait time.Duration) {
 	p.count(n, &p.hostReads)
-	p.read(&simWatch{node: n, after: int64(after), hosts: true}, wait)
+	p.read(&simWatch{node: n, epoch: after.epoch, after: int64(after.version), hosts: true}, wait)
 }
 
 func (p *simPlatform) readSection(n *simNode, ref keeper.SectionRef) {
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -139,6 +140,43 @@
 
 // TestProcesses guards against faults that the simulated fleets cannot show,
 // because they have no sockets, no platform API and no goroutines.
+// TestRestoredHosts guards against changes of the host list that are not read because
+// the platform gives out its versions again.
+func TestRestoredHosts(t *testing.T) {
+	is := is.New(t)
+	p := newProcessGroup(t).platform
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	client, err := newPlatformClient(p.URL(), transport)
+	is.NoErr(err)
+	set := func(name string) {
+		p.SetHost(cataloger.HostSpec{Name: name, Role: cataloger.RoleAgent, State: cataloger.HostLive, ControlAddress: "127.0.0.1:1"})
+	}
+	var table hostTable
+	follow := func() {
+		r := client.readHosts(t.Context(), table.hostPosition, 0)
+		is.NoErr(r.err)
+		is.True(table.apply(r.changes))
+	}
+	set("a")
+	p.Mark()
+	set("b")
+	follow()
+	is.Equal(len(table.specs()), 2)
+	p.RollBack()
+	set("c")
+	follow()
+	is.Equal(table.hostPosition, hostPosition{epoch: 1, version: 2})
+	is.Equal(len(table.specs()), 2)
+	_, hasNew := table.entries["c"]
+	is.True(hasNew)
+	set("d")
+	follow()
+	is.Equal(len(table.specs()), 3)
+	is.True(!table.apply(hostChanges{from: 0, to: 9}))
+	is.True(!table.apply(hostChanges{epoch: 2, from: 3, to: 9}))
+}
+
 func TestProcesses(t *testing.T) {
 	t.Run("a fleet over sockets applies changes, refuses invalid ones and keeps working while the platform is down", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/watcher/wire.go
+++ b/internal/watcher/wire.go
@@ -31,8 +31,9 @@
 	}}
 }
 
-func hostRequest(after uint64) *wirepb.Envelope {
-	return &wirepb.Envelope{Body: &wirepb.Envelope_HostRequest{HostRequest: &wirepb.HostRequest{AfterVersion: after}}}
+func hostRequest(after hostPosition) *wirepb.Envelope {
+	request := &wirepb.HostRequest{AfterEpoch: after.epoch, AfterVersion: after.version}
+	return &wirepb.Envelope{Body: &wirepb.Envelope_HostRequest{HostRequest: request}}
 }
 
 func helloMessage(name string, revision uint64) *wirepb.Envelope {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -186,11 +186,13 @@
 func (p *Platform) Mark() { p.change(func() { p.snapshot = p.live.clone() }) }
 
 // RollBack restores the state saved by Mark, including versions, as when a
-// platform is restored from a backup.
+// platform is restored from a backup. It begins a new epoch.
 func (p *Platform) RollBack() {
 	p.change(func() {
 		if p.snapshot != nil {
+			epoch := p.live.epoch + 1
 			p.live = p.snapshot.clone()
+			p.live.epoch = epoch
 		}
 	})
 }
--- a/standin/platform/serve.go
+++ b/standin/platform/serve.go
@@ -121,10 +121,13 @@
 	var result api.ListHostsRes = &api.ListHostsNotModified{}
 	failure := p.wait(ctx, params.WaitMs.Or(0), func(s *store) bool {
 		after := params.AfterVersion.Or(0)
+		if params.AfterEpoch.Or(0) != s.epoch {
+			after = 0
+		}
 		if after > 0 && s.hostVersion <= after {
 			return false
 		}
-		changes := &api.HostChanges{Version: s.hostVersion, Hosts: []api.HostState{}}
+		changes := &api.HostChanges{Epoch: api.NewOptInt64(s.epoch), Version: s.hostVersion, Hosts: []api.HostState{}}
 		for _, h := range s.hostsAfter(after) {
 			changes.Hosts = append(changes.Hosts, h.state())
 		}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -24,6 +24,8 @@
 	valueVersion int64
 	hosts        map[string]host
 	hostVersion  int64
+	// epoch counts how often the platform came back from an older copy.
+	epoch int64
 }
 
 func newStore() *store {
