List a serving target again when the copy has its lapsed entry

Cause: after a return of the platform, a report that was known with a removed entry counted as old. A target that lives, whose entry had lapsed before and is in the copy, does not change it, so no later report would come and it would get no new flows any more.

Evidence: TestRestoredLapse, first subtest, fails before.

Change: the same report lists a target again if it was serving; one that drained stays out. It keeps the position of its report, so that a target that took over its address in between stays the later one.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -67,6 +67,9 @@
 // the copy that the store came back from, so only a later stamp wins there; changes
 // after the snapshot, and removals, are news. A process may still hold states of an
 // earlier epoch that the copy lacks, and they win by a later stamp as well.
+//
+// A serving target whose entry lapsed may live, and does not write its entry again
+// if the copy still has it, so the same report lists it again.
 func (c Change) supersedes(known Change, isSnapshot bool) bool {
 	switch {
 	case c.Epoch == known.Epoch:
@@ -74,10 +77,13 @@
 	case c.Epoch < known.Epoch:
 		return !c.IsGone() && !known.IsGone() && c.Stamp.Compare(known.Stamp) > 0
 	default:
-		return c.IsGone() || !isSnapshot || c.Stamp.Compare(known.Stamp) > 0
+		order := c.Stamp.Compare(known.Stamp)
+		return c.IsGone() || !isSnapshot || order > 0 || order == 0 && known.IsGone() && c.isServing()
 	}
 }
 
+func (c Change) isServing() bool { return c.Target != nil && c.Target.State == router.Serving }
+
 // record is the latest known state of an item, also after its removal.
 type record struct {
 	change Change
@@ -170,6 +176,9 @@
 		}
 	}
 	if c.Target != nil {
+		if last := known.lastTarget; last != nil && c.Epoch != known.change.Epoch && c.Stamp == known.change.Stamp {
+			c.Target = last // keeps its position, for a later target at its address
+		}
 		known.lastTarget = nil
 		if known.change.Target == nil && !r.position.IsZero() && !r.lists(c.Target, now) {
 			known.propagatedAt = now.Add(propagationTime)
