Keep removed targets reachable while they hold flows

Cause: callers' open flows were reset 15 s after entries of targets had lapsed and did not come back, although the targets lived and served. The table dropped a removed target after a fixed time, and a search that visits all listed targets then proves nothing. The class: silence of another system taken for the end of work that the own processes see running.

Change: a removed target stays in the table until 15 s after its agent last reported that it holds flows and answers; it gets no new flows, as before. The new subtest of TestFollower fails without the call.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -47,6 +47,9 @@
 	// IsPlatformReader reports whether this process is one of the few that always
 	// watch the platform.
 	IsPlatformReader func(t *router.Table) bool
+	// IsInUse reports whether a target holds flows. A removed target that does stays
+	// in the table.
+	IsInUse func(target uint32) bool
 	// Deadline is the time within which a change must be in force.
 	Deadline time.Duration
 	// StartSpread is the time over which the first reads of a fleet are spread.
@@ -273,6 +276,7 @@
 }
 
 func (f *Follower) tick(ctx context.Context, now time.Time) {
+	f.registrar.KeepInUse(now, f.options.IsInUse)
 	if f.registrar.Expire(f.lastTick, now) {
 		f.publish(now)
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -27,6 +27,8 @@
 	// that the last one took back.
 	epoch atomic.Uint64
 	lost  atomic.Uint64
+	// target is the only target; nil if there is none.
+	target atomic.Pointer[router.Target]
 }
 
 // restore makes the platform return from a copy that lacks the last revisions. The
@@ -40,13 +42,11 @@
 
 func (p *fakePlatform) batch() Batch {
 	v, revision := p.version.Load(), p.revision()
-	return Batch{
-		Position: router.Position{Epoch: p.epoch.Load(), Revision: revision},
-		Changes: []registrar.Change{{
-			Key: "config", Position: router.Position{Epoch: p.epoch.Load(), Revision: revision},
-			Stamp: registrar.Stamp{Number: v}, Config: &router.Config{Version: v},
-		}},
-	}
+	position := router.Position{Epoch: p.epoch.Load(), Revision: revision}
+	return Batch{Position: position, Changes: []registrar.Change{
+		{Key: "config", Position: position, Stamp: registrar.Stamp{Number: v}, Config: &router.Config{Version: v, Services: []string{"feeds"}}},
+		{Key: "target", Position: position, Target: p.target.Load()},
+	}}
 }
 
 func (p *fakePlatform) revision() uint64 { return p.version.Load() - p.lost.Load() }
@@ -94,6 +94,7 @@
 			Source: p.source(), Peers: func() []Peer { return nil }, IsPlatformReader: func(*router.Table) bool { return true },
 			FetchChanges: func(context.Context, netip.Addr, router.Position) (Batch, error) { return Batch{}, errDown },
 			Seeds:        func() []netip.Addr { return nil },
+			IsInUse:      func(uint32) bool { return false },
 			Deadline:     3 * time.Second, Logger: zerolog.Nop(),
 		}
 		if change != nil {
@@ -282,6 +283,30 @@
 			is.True(f.TableAge(time.Now()) < time.Second)
 		})
 	})
+	// Guards against resets of open flows at a target whose entry does not come back
+	// although the target lives.
+	t.Run("a removed target is reachable until 15 s after it last held flows", func(t *testing.T) {
+		var isInUse atomic.Bool
+		isInUse.Store(true)
+		p := newFakePlatform(1)
+		p.target.Store(&router.Target{ID: "a", Service: "feeds", Address: netip.MustParseAddrPort("10.0.0.1:80")})
+		runFollower(t, p, func(o *Options) { o.IsInUse = func(uint32) bool { return isInUse.Load() } }, func(is *is.I, f *Follower) {
+			hasTarget := func() bool {
+				_, _, ok := f.Table().FindTargetAt(netip.MustParseAddrPort("10.0.0.1:80"))
+				return ok
+			}
+			<-f.Ready()
+			p.target.Store(nil)
+			p.version.Add(1)
+			time.Sleep(10 * time.Minute)
+			is.True(hasTarget())
+			isInUse.Store(false)
+			time.Sleep(14 * time.Second)
+			is.True(hasTarget())
+			time.Sleep(2 * time.Second)
+			is.True(!hasTarget())
+		})
+	})
 	t.Run("failed calls are at least 50 ms apart", func(t *testing.T) {
 		p := newFakePlatform(1)
 		p.isDown.Store(true)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -15,7 +15,8 @@
 //
 // A target whose entry disappears without a drain may still be running: entries
 // can be lost while the platform is unavailable. The target keeps getting new
-// flows for lapsedGracePeriod and packets of open flows for goneRetention.
+// flows for lapsedGracePeriod, and packets of open flows until goneRetention after it
+// was last in use.
 //
 // # Usage
 //
@@ -90,6 +91,8 @@
 	// lastTarget is the target before its entry disappeared at removedAt.
 	lastTarget *router.Target
 	removedAt  time.Time
+	// usedAt is when the removed target last held flows.
+	usedAt time.Time
 	// propagatedAt is the time from which every process knows the target.
 	propagatedAt time.Time
 }
@@ -209,11 +212,10 @@
 		if !known.change.IsGone() {
 			continue
 		}
-		for _, limit := range []time.Duration{lapsedGracePeriod, goneRetention} {
-			end := known.removedAt.Add(limit)
+		for _, end := range []time.Time{known.removedAt.Add(lapsedGracePeriod), known.unreachableAt()} {
 			changed = changed || known.lastTarget != nil && before.Before(end) && !now.Before(end)
 		}
-		if now.Sub(known.removedAt) > tombstoneRetention {
+		if now.Sub(known.removedAt) > tombstoneRetention && now.Sub(known.usedAt) > tombstoneRetention {
 			r.oldestBase = later(r.oldestBase, known.change.Position)
 			delete(r.records, key)
 		}
@@ -221,6 +223,17 @@
 	return changed
 }
 
+// KeepInUse keeps the removed targets in the table that hold flows, as isInUse
+// reports for the number of a target. It must be called more often than
+// goneRetention.
+func (r *Registrar) KeepInUse(now time.Time, isInUse func(target uint32) bool) {
+	for _, known := range r.records {
+		if known.change.IsGone() && known.lastTarget != nil && now.Before(known.unreachableAt()) && isInUse(known.lastTarget.Number()) {
+			known.usedAt = now
+		}
+	}
+}
+
 // Changes returns the items that changed after a position, sorted by key. If a
 // removal after that position may be unknown, it returns all items instead, and
 // true, for MergeSnapshot.
@@ -260,15 +273,22 @@
 		target.IsPropagating = now.Before(r.propagatedAt)
 		return target, true
 	}
-	since := now.Sub(r.removedAt)
-	if r.lastTarget == nil || since >= goneRetention {
+	if r.lastTarget == nil || !now.Before(r.unreachableAt()) {
 		return router.Target{}, false
 	}
 	t := *r.lastTarget
-	t.State = departedState(t, since)
+	t.State = departedState(t, now.Sub(r.removedAt))
 	return t, true
 }
 
+// unreachableAt returns when a removed target leaves the table.
+func (r *record) unreachableAt() time.Time {
+	if r.usedAt.After(r.removedAt) {
+		return r.usedAt.Add(goneRetention)
+	}
+	return r.removedAt.Add(goneRetention)
+}
+
 func departedState(t router.Target, since time.Duration) router.State {
 	if t.State == router.Serving && since < lapsedGracePeriod {
 		return router.Lapsed
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -79,6 +79,17 @@
 	return follower.FetchChanges(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()), after)
 }
 
+// isTargetInUse reports whether the agent of a target answers and says that the
+// target holds flows and serves them.
+func (r *Runner) isTargetInUse(target uint32) bool {
+	if r.deliverer != nil && target == r.ownTarget.Load() {
+		load := r.tracker.Load(time.Now())
+		return load.Flows > 0 && !load.IsSilent
+	}
+	p, ok := r.signaller.PeerOfTarget(target)
+	return ok && p.Flows > 0 && !p.IsSilent && !r.signaller.IsDown(target)
+}
+
 // isPlatformReader reports whether this agent is one of those that watch the
 // platform: its target is one of the platformReaders live serving targets with
 // the smallest numbers, which are hashes of the target names.
