--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -41,8 +41,8 @@
 	// beaconInterval is the time between two beacons to the same agent. It is
 	// longer if there are more agents than maxBeaconsPerSecond allows.
 	beaconInterval = 250 * time.Millisecond
-	// maxBeaconsPerSecond keeps a process within its budget of 23 KB/s for control
-	// traffic: a beacon and its answer take about 160 bytes.
+	// maxBeaconsPerSecond keeps a process near its budget of 23 KB/s for control
+	// traffic: a beacon and its answer take up to 192 bytes with their headers.
 	maxBeaconsPerSecond = 140
 	// unansweredAfter, probeInterval and probeLimit mark an agent as down 550 ms
 	// after the first beacon that it does not answer.
