End an agent whose QUIC listener fails

Cause: an agent whose listener no longer accepted connections logged it and ran on. Callers that are sent to it wait until their handshake times out, and the platform does not restart a process that runs.

Change: Run returns the error after it has ended what runs, so the process exits with a status other than 0 and is restarted.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -159,7 +160,8 @@
 // TunnelAddress returns the bound tunnel address.
 func (a *Agent) TunnelAddress() netip.AddrPort { return a.listener.Address() }
 
-// Run serves callers until the context ends or Shutdown returns.
+// Run serves callers until the context ends or Shutdown returns. It fails if the
+// agent can no longer accept connections, so that the process is restarted.
 func (a *Agent) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -172,10 +174,18 @@
 	wait.Go(func() { _ = a.dispatcher.Run(ctx) })
 	wait.Go(func() { _ = a.prober.Run(ctx) })
 	wait.Go(func() { a.watchTargetState(ctx) })
-	wait.Go(func() { a.accept(ctx, &wait) })
+	failed := make(chan error, 1)
+	wait.Go(func() {
+		if err := a.accept(ctx, &wait); err != nil {
+			failed <- err
+		}
+	})
+	var failure error
 	select {
 	case <-ctx.Done():
 	case <-a.stopped:
+	case failure = <-failed:
+		a.options.Logger.Error().Err(failure).Msg("failed to accept connections")
 	}
 	a.stopping.Store(true)
 	cancel()
@@ -184,9 +194,9 @@
 	wait.Wait()
 	_ = a.quic.Close()
 	if err := a.listener.Close(); err != nil {
-		return merry.Prepend(err, "stop agent")
+		return errors.Join(failure, merry.Prepend(err, "stop agent"))
 	}
-	return nil
+	return failure
 }
 
 // ServeControl receives the digests of other agents. A process that handles
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -122,6 +122,16 @@
 	})
 }
 
+// TestLostListener guards against an agent that runs on without serving, because its
+// QUIC listener failed and nobody restarts the process.
+func TestLostListener(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	is.NoErr(c.members[0].quic.Close())
+	err := <-c.members[0].done
+	is.True(errors.Is(err, quic.ErrServerClosed))
+}
+
 // TestShutdown guards against requests that a drain cuts off before its deadline,
 // and against drains that wait for idle callers or past the deadline.
 func TestShutdown(t *testing.T) {
--- a/internal/agent/connections.go
+++ b/internal/agent/connections.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
@@ -102,15 +103,16 @@
 	a.dispatcher.ServeHTTP(w, r.WithContext(task.Context()))
 }
 
-// accept serves connections until the context ends.
-func (a *Agent) accept(ctx context.Context, wait *sync.WaitGroup) {
+// accept serves connections until the context ends. It fails if the listener no
+// longer accepts any.
+func (a *Agent) accept(ctx context.Context, wait *sync.WaitGroup) error {
 	for {
 		q, err := a.quic.Accept(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
 		if err != nil {
-			if ctx.Err() == nil {
-				a.options.Logger.Error().Err(err).Msg("failed to accept connections")
-			}
-			return
+			return merry.Prepend(err, "accept connections")
 		}
 		wait.Go(func() { a.serveConnection(ctx, q) })
 	}
