Look for removed targets in use while old entries expire

Cause: reading the change again.

Change: Expire asks whether a removed target is in use. The model of packet flows answers it from the reports of agents.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -276,8 +276,7 @@
 }
 
 func (f *Follower) tick(ctx context.Context, now time.Time) {
-	f.registrar.KeepInUse(now, f.options.IsInUse)
-	if f.registrar.Expire(f.lastTick, now) {
+	if f.registrar.Expire(f.lastTick, now, f.options.IsInUse) {
 		f.publish(now)
 	}
 	f.lastTick = now
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -33,8 +33,8 @@
 	Read func(ctx context.Context) (Batch, error)
 	// Watch waits for changes after a revision of the platform's current epoch and
 	// returns them as soon as there are any, or an empty batch after the wait. It
-	// fails with ErrCompacted if the
-	// platform no longer has the changes after the revision.
+	// fails with ErrCompacted if the platform does not have the changes after the
+	// revision.
 	Watch func(ctx context.Context, after uint64, wait time.Duration) (Batch, error)
 }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -7,11 +7,11 @@
 // one, and the result depends neither on the order nor on the source of the items.
 // After the store came back from an older copy, the first table of the new epoch
 // may list states that were replaced before. Across epochs the stamps of the
-// writers therefore decide, see Change.supersedes.
+// writers therefore decide, see supersedes.
 //
-// A removed item is kept as a tombstone with the position of its removal. A process that asks for
-// changes since before the oldest tombstone gets all items instead, because it
-// would otherwise keep the items whose removal is not known here.
+// A removed item is kept as a tombstone with the position of its removal. A process
+// that asks for changes since before the oldest tombstone gets all items instead,
+// because it would otherwise keep the items whose removal is not known here.
 //
 // A target whose entry disappears without a drain may still be running: entries
 // can be lost while the platform is unavailable. The target keeps getting new
@@ -204,14 +204,19 @@
 }
 
 // Expire deletes old tombstones and reports whether the state of any target
-// changed between before and now by the passing of time alone.
-func (r *Registrar) Expire(before, now time.Time) bool {
+// changed between before and now by the passing of time alone. A removed target
+// stays in the table while isInUse reports that it holds flows. Expire must be called
+// more often than goneRetention.
+func (r *Registrar) Expire(before, now time.Time, isInUse func(target uint32) bool) bool {
 	changed := false
 	for key, known := range r.records {
 		changed = changed || before.Before(known.propagatedAt) && !now.Before(known.propagatedAt)
 		if !known.change.IsGone() {
 			continue
 		}
+		if known.lastTarget != nil && now.Before(known.unreachableAt()) && isInUse(known.lastTarget.Number()) {
+			known.usedAt = now
+		}
 		for _, end := range []time.Time{known.removedAt.Add(lapsedGracePeriod), known.unreachableAt()} {
 			changed = changed || known.lastTarget != nil && before.Before(end) && !now.Before(end)
 		}
@@ -223,17 +228,6 @@
 	return changed
 }
 
-// KeepInUse keeps the removed targets in the table that hold flows, as isInUse
-// reports for the number of a target. It must be called more often than
-// goneRetention.
-func (r *Registrar) KeepInUse(now time.Time, isInUse func(target uint32) bool) {
-	for _, known := range r.records {
-		if known.change.IsGone() && known.lastTarget != nil && now.Before(known.unreachableAt()) && isInUse(known.lastTarget.Number()) {
-			known.usedAt = now
-		}
-	}
-}
-
 // Changes returns the items that changed after a position, sorted by key. If a
 // removal after that position may be unknown, it returns all items instead, and
 // true, for MergeSnapshot.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -41,6 +41,8 @@
 
 func gone(id string, revision uint64) Change { return Change{Key: "t/" + id, Position: at(revision)} }
 
+func unused(uint32) bool { return false }
+
 // states returns the state of each target by its ID.
 func states(t *router.Table) map[string]router.State {
 	all := map[string]router.State{}
@@ -82,8 +84,8 @@
 			is.Equal(known, c.known)
 			is.Equal(state, c.state)
 		}
-		is.True(r.Expire(start.Add(1900*time.Millisecond), start.Add(2*time.Second)))
-		is.True(!r.Expire(start.Add(3*time.Second), start.Add(4*time.Second)))
+		is.True(r.Expire(start.Add(1900*time.Millisecond), start.Add(2*time.Second), unused))
+		is.True(!r.Expire(start.Add(3*time.Second), start.Add(4*time.Second), unused))
 	})
 	t.Run("a draining target whose entry disappears gets no new flows", func(t *testing.T) {
 		is := is.New(t)
@@ -122,7 +124,7 @@
 		}
 		is.Equal(propagating(0), map[string]bool{"a": false, "b": true})
 		is.Equal(propagating(500*time.Millisecond), map[string]bool{"a": false, "b": false})
-		is.True(r.Expire(start.Add(400*time.Millisecond), start.Add(500*time.Millisecond)))
+		is.True(r.Expire(start.Add(400*time.Millisecond), start.Add(500*time.Millisecond), unused))
 	})
 	// Guards against processes whose tables differ permanently because they
 	// received the same changes in a different order or from another source.
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -111,7 +111,7 @@
 				before := now
 				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "seconds")) * time.Second)
 				for _, r := range processes {
-					r.Expire(before, now)
+					r.Expire(before, now, unused)
 				}
 			},
 			"": func(*rapid.T) {
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -28,6 +28,7 @@
 // peerState is the last report of an agent, as a process knows it.
 type peerState struct {
 	report  chooser.Report
+	flows   int
 	heardAt time.Time
 }
 
@@ -86,12 +87,18 @@
 	if !p.isUp || p.table == nil {
 		return
 	}
-	if p.registrar.Expire(p.lastTick, p.world.now) {
+	if p.registrar.Expire(p.lastTick, p.world.now, p.isInUse) {
 		p.table = p.registrar.BuildTable(p.world.now)
 	}
 	p.lastTick = p.world.now
 }
 
+// isInUse reports whether a target holds flows, as its agent reported.
+func (p *process) isInUse(target uint32) bool {
+	peer := p.peers[target]
+	return peer.flows > 0 && !peer.report.IsSilent && !p.isDown(target)
+}
+
 func (p *process) isDown(target uint32) bool {
 	heardAt := p.startedAt
 	if peer, ok := p.peers[target]; ok {
@@ -197,7 +204,7 @@
 	report := chooser.Report{Running: load.Running, Slots: a.target.slots, ServiceTime: load.ServiceTime, IsSilent: load.IsSilent, IsSuspect: load.IsSuspect}
 	w.send(w.delay(a.zone, p.zone), func() {
 		if p.isUp {
-			p.peers[number] = peerState{report: report, heardAt: w.now}
+			p.peers[number] = peerState{report: report, flows: load.Flows, heardAt: w.now}
 		}
 	})
 }
