Count open flows that are reset although their targets hold them

Cause: the postmortem of the restored store leaves open how often a process that has just started resets a live flow. The soak saw failed requests in trouble, but not whether the target still held the flow.

Change: after a reset the soak asks its targets; the count and the caller go to the line and the events of the run. It is a violation in the steady state only, as before.

--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -2,8 +2,9 @@
 // checks the guarantees. It exits with status 1 if one is violated.
 //
 // It prints one JSON line for each seed. In it, calm is the number of requests
-// that began in the steady state, and explained is the number of failures for
-// which the logs show a cause.
+// that began in the steady state, explained is the number of failures for which the
+// logs show a cause, and live_resets is the number of open flows that were reset
+// although their targets held them.
 //
 // # Usage
 //
@@ -71,7 +72,8 @@
 	}
 	all, answered, steady := report.Requests()
 	line := map[string]any{
-		"seed": seed, "requests": all, "answered": answered, "calm": steady, "violations": len(report.Violations()), "dir": dir,
+		"seed": seed, "requests": all, "answered": answered, "calm": steady, "live_resets": report.LiveResets(),
+		"violations": len(report.Violations()), "dir": dir,
 	}
 	if len(report.Failures()) > 0 {
 		explained, err := explainFailures(report.Failures(), dir)
--- a/standin/soaker/environment.go
+++ b/standin/soaker/environment.go
@@ -163,6 +163,15 @@
 	e.store.Put(standin.ConfigKey, config)
 }
 
+// isHeld reports whether a living target holds a flow of a caller.
+func (e *environment) isHeld(f *flow) bool {
+	return slices.ContainsFunc(e.agents, func(p *process) bool {
+		p.lock.Lock()
+		defer p.lock.Unlock()
+		return p.target != nil && p.target.holds(f)
+	})
+}
+
 // rewriteConfig writes the last configuration again.
 func (e *environment) rewriteConfig() {
 	e.lock.Lock()
--- a/standin/soaker/report.go
+++ b/standin/soaker/report.go
@@ -16,6 +16,7 @@
 	requests   int
 	answered   int
 	steady     int
+	liveResets int
 	lastFault  time.Time
 	events     []string
 	failures   []Failure
@@ -41,6 +42,10 @@
 // failed while a fault was active.
 func (r *Report) Failures() []Failure { return r.failures }
 
+// LiveResets returns the number of open flows that were reset although a living
+// target held them. In the steady state each is a violation as well.
+func (r *Report) LiveResets() int { return r.liveResets }
+
 // Requests returns the number of requests, of answered ones, and of those that
 // began in the steady state.
 func (r *Report) Requests() (all, answered, steady int) { return r.requests, r.answered, r.steady }
@@ -82,6 +87,13 @@
 	}
 }
 
+func (r *Report) countLiveReset(caller netip.AddrPort) {
+	r.recordEvent(false, "the flow of %s was reset although its target holds it", caller)
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.liveResets++
+}
+
 func (r *Report) countResult(caller netip.AddrPort, ok, isSteady bool) {
 	r.lock.Lock()
 	defer r.lock.Unlock()
--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -195,6 +195,9 @@
 		ok, isReset := f.request(number, kind)
 		isSteady := r.wasSteady(start)
 		r.countResult(f.source, ok, isSteady)
+		if isReset && s.environment.isHeld(f) {
+			r.countLiveReset(f.source)
+		}
 		if !ok {
 			if isSteady {
 				r.recordViolation("request %d on the flow of %s to %s had no answer (reset: %t)", number, f.source, to, isReset)
--- a/standin/soaker/target.go
+++ b/standin/soaker/target.go
@@ -96,6 +96,14 @@
 	_ = t.conn.Close()
 }
 
+// holds reports whether the target lives and holds a flow of a caller.
+func (t *target) holds(f *flow) bool {
+	t.lock.Lock()
+	defer t.lock.Unlock()
+	state := t.flows[framer.Packet{Source: f.source, Destination: f.destination}.Key()]
+	return !t.isClosed && state != nil && f.ackNumber == state.sequence+1
+}
+
 func (t *target) isAlive() bool {
 	t.lock.Lock()
 	defer t.lock.Unlock()
