Let callers of the soak ignore resets of earlier flows with their port

The logs show two flows of the same caller and port: the closing packet of the first one, whose target had crashed, searched for 3 ms while the second one opened, and the reset that answered it reached the second. A caller of the platform takes a reset on an open flow only if its sequence number is within 76,800 of what it acknowledged last; the soak took any.

Change: the caller checks the number of a reset on an open flow.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -25,6 +25,10 @@
 	portCount = 40
 	// sequenceStep is the distance of the first sequence numbers of two flows.
 	sequenceStep = 100_003
+	// resetWindow is the largest distance of a reset's sequence number from what the
+	// caller of an open flow acknowledged last. Others belong to an earlier flow with
+	// the same port.
+	resetWindow = 76_800
 )
 
 // retransmitAfter lists the times since the first transmission at which an
@@ -89,6 +93,7 @@
 	incoming    chan framer.Packet
 	sequence    uint32
 	ackNumber   uint32
+	isOpen      bool
 }
 
 func (h *callerHost) newFlow(to netip.AddrPort) *flow {
@@ -139,6 +144,9 @@
 			select {
 			case p := <-f.incoming:
 				if p.RST {
+					if !f.acceptsReset(p) {
+						continue
+					}
 					timer.Stop()
 					return false, true
 				}
@@ -156,6 +164,11 @@
 	}
 }
 
+func (f *flow) acceptsReset(p framer.Packet) bool {
+	distance := int32(p.Sequence - f.ackNumber)
+	return !f.isOpen || -resetWindow <= distance && distance <= resetWindow
+}
+
 // open performs the handshake and reports whether it succeeded within
 // openTimeout.
 func (f *flow) open() bool {
@@ -168,6 +181,7 @@
 		return p.SYN && p.ACK
 	})
 	f.sequence++
+	f.isOpen = ok
 	return ok
 }
 
