--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -43,6 +43,19 @@
 	return items
 }
 
+// fetch merges what a process that is behind fetches from another one.
+func fetch(to, from *Registrar, now time.Time) {
+	if from.Position().Compare(to.Position()) <= 0 {
+		return
+	}
+	changes, isSnapshot := from.Changes(to.Position())
+	if isSnapshot {
+		to.MergeSnapshot(changes, from.Position(), now)
+	} else {
+		to.Merge(changes, from.Position(), now)
+	}
+}
+
 // TestRestarts guards against a target that has left and is used again after a
 // process restarts: the restarted process does not know of removals before its
 // first read, and must not hide them from a process with an older table.
@@ -95,16 +108,7 @@
 				}
 			},
 			"fetch from a peer": func(*rapid.T) {
-				to, from := processes[pick("to")], processes[pick("from")]
-				if from.Position().Compare(to.Position()) <= 0 {
-					return
-				}
-				changes, isSnapshot := from.Changes(to.Position())
-				if isSnapshot {
-					to.MergeSnapshot(changes, from.Position(), now)
-				} else {
-					to.Merge(changes, from.Position(), now)
-				}
+				fetch(processes[pick("to")], processes[pick("from")], now)
 			},
 			"restart": func(*rapid.T) { processes[pick("process")] = NewRegistrar() },
 			"pass time": func(*rapid.T) {
--- a/internal/registrar/restore_test.go
+++ b/internal/registrar/restore_test.go
@@ -167,16 +167,7 @@
 			},
 			"watch": func(t *rapid.T) { watch(pick(t, "process")) },
 			"fetch from a peer": func(t *rapid.T) {
-				to, from := pick(t, "to"), pick(t, "from")
-				if from.Position().Compare(to.Position()) <= 0 {
-					return
-				}
-				changes, isSnapshot := from.Changes(to.Position())
-				if isSnapshot {
-					to.MergeSnapshot(changes, from.Position(), now)
-				} else {
-					to.Merge(changes, from.Position(), now)
-				}
+				fetch(pick(t, "to").Registrar, pick(t, "from").Registrar, now)
 			},
 			"restart": func(t *rapid.T) {
 				processes[rapid.IntRange(0, len(processes)-1).Draw(t, "process")] = newRestoredProcess()
