Show that a started process does not learn of lapsed targets

The store had come back from a copy that was older than all entries; an agent started in that moment and got a table from a peer, in which removals name no target, so its search ended after the only target it knew.

--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"kingcupvalve.example/kingcupvalve/internal/router"
@@ -126,3 +127,15 @@
 		})
 	})
 }
+
+// TestLapsedTargetsOfPeer guards against resets of open flows by a process that has
+// just started: it does not know the targets whose entries lapsed, although the peer
+// that sends it a table does.
+func TestLapsedTargetsOfPeer(t *testing.T) {
+	is := is.New(t)
+	peer, started := NewRegistrar(), NewRegistrar()
+	peer.Merge([]Change{config(1, 1), target("a", 1, 2), target("b", 2, 3)}, at(3), start)
+	peer.MergeSnapshot([]Change{config(1, 1), target("b", 2, 3)}, at(4), start)
+	fetch(started, peer, start)
+	is.Equal(states(started.BuildTable(start)), states(peer.BuildTable(start)))
+}
