Let started processes learn departed targets from peers

Cause: a process that has just started knows only the targets that the platform lists.

Change: a removed item carries its last target with position and ages. A started process also asks a peer for departed targets, because it usually reads the platform first, and its table proves nothing about a flow until a peer that ran before has answered, three that had just started have, or 2 s have passed. Ruled out: a full fetch from a peer, which costs the whole table at each start.

--- /dev/null
+++ b/internal/follower/departures.go
@@ -0,0 +1,75 @@
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+const (
+	// departureSearchTimeout bounds the time in which a process that has just started
+	// asks its peers for departed targets, and resets no flow that it can't find.
+	departureSearchTimeout = 2 * time.Second
+	// maxUnknowingAnswers is the number of peers that are asked although the earlier
+	// ones had just started, too. If all processes start together, none knows more.
+	maxUnknowingAnswers = 3
+)
+
+// departureSearch is the state of the search for targets that departed before this
+// process started. The platform lists them no more, but they may hold flows.
+type departureSearch struct {
+	deadline time.Time
+	// unknowing is the number of answers from peers that had just started, too.
+	unknowing int
+}
+
+// Departures returns the removed items whose last targets are known. It returns
+// false if the context ends first.
+func (f *Follower) Departures(ctx context.Context) (Batch, bool) {
+	return f.ask(ctx, request{departuresOnly: true, reply: make(chan Batch, 1)})
+}
+
+// searchDepartures asks a random peer or seed for departed targets, and ends the
+// search after its deadline.
+func (f *Follower) searchDepartures(ctx context.Context, now time.Time) {
+	if !now.Before(f.departures.deadline) {
+		f.finishDepartures(now)
+		return
+	}
+	var peers []netip.Addr
+	for _, p := range f.options.Peers() {
+		peers = append(peers, p.Address)
+	}
+	if len(peers) == 0 {
+		peers = f.options.Seeds()
+	}
+	if len(peers) == 0 {
+		return
+	}
+	peer := peers[rand.IntN(len(peers))]
+	f.startFetch(ctx, result{peer: peer, isDepartures: true}, func(ctx context.Context) (Batch, error) {
+		return f.options.FetchDepartures(ctx, peer)
+	})
+}
+
+// applyDepartures merges the departed targets that a peer knows. Those that a peer
+// learnt since its own start are used, too, but do not end the search.
+func (f *Follower) applyDepartures(r result, now time.Time) {
+	if f.registrar.MergeDepartures(r.batch.Changes) {
+		f.publish(now)
+		f.options.Logger.Info().Str("source", r.source).Int("changes", len(r.batch.Changes)).Msg("departed targets learnt from peer")
+	}
+	if !r.batch.KnowsDepartures {
+		f.departures.unknowing++
+	}
+	if r.batch.KnowsDepartures || f.departures.unknowing >= maxUnknowingAnswers {
+		f.finishDepartures(now)
+	}
+}
+
+func (f *Follower) finishDepartures(now time.Time) {
+	if f.registrar.FinishDepartures() {
+		f.publish(now)
+	}
+}
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -22,36 +23,47 @@
 // observes the deadline of the context, and fails with
 // messenger.ErrProtocol if the process sends anything but table replies.
 func FetchChanges(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, after router.Position) (Batch, error) {
+	batch, err := fetch(ctx, m, address, &wirepb.TableRequest{AfterEpoch: after.Epoch, AfterRevision: after.Revision})
+	return batch, merry.Prepend(err, "fetch table")
+}
+
+// FetchDepartures fetches the removed items whose last targets the process at an
+// address knows. Deadline and errors are those of FetchChanges.
+func FetchDepartures(ctx context.Context, m *messenger.Messenger, address netip.AddrPort) (Batch, error) {
+	batch, err := fetch(ctx, m, address, &wirepb.TableRequest{DeparturesOnly: true})
+	return batch, merry.Prepend(err, "fetch departures")
+}
+
+func fetch(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, request *wirepb.TableRequest) (Batch, error) {
 	var batch Batch
 	stream, err := m.Open(ctx, address, messenger.LaneControl)
 	if err != nil {
-		return batch, merry.Prepend(err, "fetch table")
+		return batch, err
 	}
 	defer func() { _ = stream.Close() }()
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := stream.SetDeadline(deadline); err != nil {
-			return batch, merry.Prepend(err, "fetch table")
+			return batch, err
 		}
 	}
-	request := &wirepb.TableRequest{AfterEpoch: after.Epoch, AfterRevision: after.Revision}
 	if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_TableRequest{TableRequest: request}}); err != nil {
-		return batch, merry.Prepend(err, "fetch table")
+		return batch, err
 	}
 	for {
 		envelope, err := stream.Receive()
 		if err != nil {
-			return Batch{}, merry.Prepend(err, "fetch table")
+			return Batch{}, err
 		}
 		reply := envelope.GetTableReply()
 		if reply == nil {
-			return Batch{}, merry.Prepend(messenger.ErrProtocol, "fetch table: message is not a table reply")
+			return Batch{}, merry.Prepend(messenger.ErrProtocol, "message is not a table reply")
 		}
 		for _, item := range reply.GetItems() {
-			batch.Changes = append(batch.Changes, decodeItem(item))
+			batch.Changes = append(batch.Changes, decodeItem(item, time.Now()))
 		}
 		if !reply.GetMore() {
 			batch.Position = router.Position{Epoch: reply.GetEpoch(), Revision: reply.GetRevision()}
-			batch.IsSnapshot = reply.GetIsSnapshot()
+			batch.IsSnapshot, batch.KnowsDepartures = reply.GetIsSnapshot(), reply.GetKnowsDepartures()
 			batch.ConfirmedAt = time.Now().Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond)
 			return batch, nil
 		}
@@ -70,7 +82,7 @@
 		if request == nil {
 			return
 		}
-		batch, ok := f.Changes(ctx, router.Position{Epoch: request.GetAfterEpoch(), Revision: request.GetAfterRevision()})
+		batch, ok := f.answer(ctx, request)
 		if !ok {
 			return
 		}
@@ -81,16 +93,23 @@
 	}
 }
 
+func (f *Follower) answer(ctx context.Context, request *wirepb.TableRequest) (Batch, bool) {
+	if request.GetDeparturesOnly() {
+		return f.Departures(ctx)
+	}
+	return f.Changes(ctx, router.Position{Epoch: request.GetAfterEpoch(), Revision: request.GetAfterRevision()})
+}
+
 func sendBatch(stream *messenger.Stream, batch Batch) error {
-	changes := batch.Changes
+	changes, now := batch.Changes, time.Now()
 	for {
 		n := min(len(changes), itemsPerReply)
 		reply := &wirepb.TableReply{
 			Epoch: batch.Epoch, Revision: batch.Revision, IsSnapshot: batch.IsSnapshot, More: n < len(changes),
-			ConfirmedAgeMs: uint32(max(0, time.Since(batch.ConfirmedAt).Milliseconds())),
+			ConfirmedAgeMs: encodeAge(batch.ConfirmedAt, now), KnowsDepartures: batch.KnowsDepartures,
 		}
 		for _, c := range changes[:n] {
-			reply.Items = append(reply.Items, encodeItem(c))
+			reply.Items = append(reply.Items, encodeItem(c, now))
 		}
 		if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_TableReply{TableReply: reply}}); err != nil {
 			return err
@@ -101,7 +120,12 @@
 	}
 }
 
-func encodeItem(c registrar.Change) *wirepb.TableItem {
+// encodeAge returns the time from then to now in ms, or 0 if then is later.
+func encodeAge(then, now time.Time) uint32 {
+	return uint32(min(max(0, now.Sub(then).Milliseconds()), math.MaxUint32))
+}
+
+func encodeItem(c registrar.Change, now time.Time) *wirepb.TableItem {
 	item := &wirepb.TableItem{
 		Key: c.Key, Epoch: c.Epoch, Revision: c.Revision, StampStartedMs: c.Stamp.StartedMs, StampNumber: c.Stamp.Number,
 	}
@@ -117,18 +141,28 @@
 			item.Config.Routes = append(item.Config.Routes, entry)
 		}
 	}
-	if t := c.Target; t != nil {
-		item.Target = &wirepb.TargetEntry{
-			Id: t.ID, Service: t.Service, Address: t.Address.String(), Draining: t.State == router.Draining,
-			Slots: uint32(t.Slots), AvailabilityZone: t.Zone,
+	if c.Target != nil {
+		item.Target = encodeTarget(c.Target)
+	}
+	if d := c.Departure; d != nil {
+		item.Departure = &wirepb.Departure{
+			Target: encodeTarget(&d.Target), Epoch: d.Target.Epoch, Revision: d.Target.Revision,
+			RemovedAgeMs: encodeAge(d.RemovedAt, now), UsedAgeMs: encodeAge(d.UsedAt, now),
 		}
 	}
 	return item
 }
 
-// decodeItem converts an item to a change. A target or a route whose address
-// doesn't parse is left out, like an unreadable item of the platform.
-func decodeItem(item *wirepb.TableItem) registrar.Change {
+func encodeTarget(t *router.Target) *wirepb.TargetEntry {
+	return &wirepb.TargetEntry{
+		Id: t.ID, Service: t.Service, Address: t.Address.String(), Draining: t.State == router.Draining,
+		Slots: uint32(t.Slots), AvailabilityZone: t.Zone,
+	}
+}
+
+// decodeItem converts an item that arrives now to a change. A target or a route
+// whose address doesn't parse is left out, like an unreadable item of the platform.
+func decodeItem(item *wirepb.TableItem, now time.Time) registrar.Change {
 	change := registrar.Change{
 		Key: item.GetKey(), Position: router.Position{Epoch: item.GetEpoch(), Revision: item.GetRevision()},
 		Stamp: registrar.Stamp{StartedMs: item.GetStampStartedMs(), Number: item.GetStampNumber()},
@@ -149,18 +183,33 @@
 			change.Config.Routes = append(change.Config.Routes, route)
 		}
 	}
-	if t := item.GetTarget(); t != nil {
-		address, err := router.ParseAddress(t.GetAddress())
-		if err != nil {
-			return change
-		}
-		change.Target = &router.Target{
-			ID: t.GetId(), Service: t.GetService(), Zone: t.GetAvailabilityZone(), Address: address, Slots: int(t.GetSlots()),
-			Position: change.Position,
-		}
-		if t.GetDraining() {
-			change.Target.State = router.Draining
+	change.Target = decodeTarget(item.GetTarget(), change.Position)
+	if d := item.GetDeparture(); d != nil && change.IsGone() {
+		if t := decodeTarget(d.GetTarget(), router.Position{Epoch: d.GetEpoch(), Revision: d.GetRevision()}); t != nil {
+			change.Departure = &registrar.Departure{
+				Target: *t, RemovedAt: decodeAge(d.GetRemovedAgeMs(), now), UsedAt: decodeAge(d.GetUsedAgeMs(), now),
+			}
 		}
 	}
 	return change
 }
+
+func decodeAge(ms uint32, now time.Time) time.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// decodeTarget returns the target of an entry with the position of its last change,
+// or nil if there is no entry or its address doesn't parse.
+func decodeTarget(t *wirepb.TargetEntry, position router.Position) *router.Target {
+	address, err := router.ParseAddress(t.GetAddress())
+	if err != nil {
+		return nil
+	}
+	target := &router.Target{
+		ID: t.GetId(), Service: t.GetService(), Zone: t.GetAvailabilityZone(), Address: address, Slots: int(t.GetSlots()), Position: position,
+	}
+	if t.GetDraining() {
+		target.State = router.Draining
+	}
+	return target
+}
--- a/internal/follower/exchange_test.go
+++ b/internal/follower/exchange_test.go
@@ -59,11 +59,31 @@
 	is.True(got.ConfirmedAt.Before(time.Now().Add(-time.Minute / 2)))
 }
 
+// TestDepartureExchange guards against departed targets that a peer hands over
+// without their position, state or age: a later target at the address would lose to
+// them, a draining one would get new flows, and old ones would never leave the table.
+func TestDepartureExchange(t *testing.T) {
+	is := is.New(t)
+	now := time.Now().Truncate(time.Millisecond)
+	removed := registrar.Change{Key: "t/a", Position: router.Position{Epoch: 1, Revision: 8}, Departure: &registrar.Departure{
+		Target: router.Target{
+			ID: "a", Service: "feeds", Zone: "howrah", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 2,
+			Position: router.Position{Revision: 5}, State: router.Draining,
+		},
+		RemovedAt: now.Add(-20 * time.Second), UsedAt: now.Add(-3 * time.Second),
+	}}
+	is.Equal(decodeItem(encodeItem(removed, now), now), removed)
+	unreadable := encodeItem(removed, now)
+	unreadable.Departure.Target.Address = "10.0.0.1:99999"
+	is.Equal(decodeItem(unreadable, now).Departure, nil)
+}
+
 // FuzzDecodeItem guards against an item of a peer that ends the process.
 func FuzzDecodeItem(f *testing.F) {
 	for _, item := range []*wirepb.TableItem{
 		{},
 		{Key: "t/a", Revision: ^uint64(0), Target: &wirepb.TargetEntry{Id: "a", Service: "feeds", Address: "[::1]:80", Slots: ^uint32(0)}},
+		{Key: "t/b", Revision: 9, Departure: &wirepb.Departure{Target: &wirepb.TargetEntry{Id: "b", Service: "feeds", Address: "10.0.0.2:80"}, RemovedAgeMs: ^uint32(0), UsedAgeMs: 1}},
 		{Key: "config", Config: &wirepb.RoutingConfig{Version: ^uint64(0), IdleTimeoutMs: ^uint32(0), Services: []string{"", "feeds"}, Routes: []*wirepb.RouteEntry{{Address: "198.18.0.1:443", Shares: []*wirepb.RouteShare{{Service: "feeds"}}}}}},
 	} {
 		b, err := proto.Marshal(item)
@@ -77,7 +97,7 @@
 		if proto.Unmarshal(b, &item) != nil {
 			return
 		}
-		c := decodeItem(&item)
+		c := decodeItem(&item, time.Now())
 		r := registrar.NewRegistrar()
 		r.Merge([]registrar.Change{c}, c.Position, time.Now())
 		r.BuildTable(time.Now()).VisitTargets(func(_ uint32, target *router.Target) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -39,6 +39,8 @@
 	Source Source
 	// FetchChanges fetches the changes after a position from a peer.
 	FetchChanges func(ctx context.Context, peer netip.Addr, after router.Position) (Batch, error)
+	// FetchDepartures fetches the removed items whose last targets a peer knows.
+	FetchDepartures func(ctx context.Context, peer netip.Addr) (Batch, error)
 	// Peers returns the processes that recently sent a beacon.
 	Peers func() []Peer
 	// Seeds returns processes to fetch a first table from, before the platform has
@@ -76,6 +78,7 @@
 	isFetching     bool
 	nextFetch      time.Time
 	seedCursor     int
+	departures     departureSearch
 	listeners      []func(t *router.Table)
 	lastTick       time.Time
 	isReading      bool
@@ -92,11 +95,15 @@
 	err    error
 	source string
 	peer   netip.Addr
+	// isDepartures is set on the answer to a request for departures.
+	isDepartures bool
 }
 
+// request asks the goroutine of Run for changes, or for departures only.
 type request struct {
-	after router.Position
-	reply chan Batch
+	after          router.Position
+	departuresOnly bool
+	reply          chan Batch
 }
 
 // NewFollower returns a follower with an empty table.
@@ -162,7 +169,10 @@
 // Changes returns the changes after a position, or all items if some removals
 // after it are not known. It returns false if the context ends first.
 func (f *Follower) Changes(ctx context.Context, after router.Position) (Batch, bool) {
-	r := request{after: after, reply: make(chan Batch, 1)}
+	return f.ask(ctx, request{after: after, reply: make(chan Batch, 1)})
+}
+
+func (f *Follower) ask(ctx context.Context, r request) (Batch, bool) {
 	select {
 	case f.requests <- r:
 		return <-r.reply, true
@@ -185,14 +195,23 @@
 		case r := <-f.results:
 			f.applyResult(r, time.Now())
 		case r := <-f.requests:
-			changes, isSnapshot := f.registrar.Changes(r.after)
-			r.reply <- Batch{Changes: changes, Position: f.registrar.Position(), IsSnapshot: isSnapshot, ConfirmedAt: f.confirmedTime()}
+			r.reply <- f.buildBatch(r)
 		case now := <-ticker.C:
 			f.tick(ctx, now)
 		}
 	}
 }
 
+func (f *Follower) buildBatch(r request) Batch {
+	b := Batch{Position: f.registrar.Position(), ConfirmedAt: f.confirmedTime(), KnowsDepartures: f.registrar.KnowsDepartures()}
+	if r.departuresOnly {
+		b.Changes = f.registrar.Departures()
+	} else {
+		b.Changes, b.IsSnapshot = f.registrar.Changes(r.after)
+	}
+	return b
+}
+
 func (f *Follower) confirmedTime() time.Time { return f.start.Add(time.Duration(f.confirmedAt.Load())) }
 
 func (f *Follower) applyResult(r result, now time.Time) {
@@ -210,6 +229,10 @@
 		f.options.Logger.Warn().Err(r.err).Str("source", r.source).Dur("table_age_ms", f.TableAge(now)).Msg("failed to read routing table")
 		return
 	}
+	if r.isDepartures {
+		f.applyDepartures(r, now)
+		return
+	}
 	previous := f.registrar.Position()
 	if r.batch.Compare(previous) < 0 {
 		f.options.Logger.Warn().Str("source", r.source).Uint64("epoch", r.batch.Epoch).Uint64("revision", r.batch.Revision).
@@ -270,6 +293,7 @@
 		case <-f.ready:
 		default:
 			f.shouldRead.Store(f.needsReads(now))
+			f.departures.deadline = now.Add(departureSearchTimeout)
 			close(f.ready)
 		}
 	}
@@ -330,17 +354,26 @@
 	case !f.registrar.HasConfig() && len(seeds) > 0:
 		f.seedCursor++
 		f.fetchFromPeer(ctx, seeds[f.seedCursor%len(seeds)], known)
+	case f.registrar.HasConfig() && !f.registrar.KnowsDepartures():
+		f.searchDepartures(ctx, now)
 	}
 }
 
 func (f *Follower) fetchFromPeer(ctx context.Context, peer netip.Addr, after router.Position) {
+	f.startFetch(ctx, result{peer: peer}, func(ctx context.Context) (Batch, error) { return f.options.FetchChanges(ctx, peer, after) })
+}
+
+// startFetch runs a fetch from the peer of a result in another goroutine, which
+// completes the result and passes it to Run.
+func (f *Follower) startFetch(ctx context.Context, r result, fetch func(ctx context.Context) (Batch, error)) {
 	f.isFetching = true
 	f.reads.Go(func() {
 		fetchContext, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
-		batch, err := f.options.FetchChanges(fetchContext, peer, after)
+		r.source = "peer " + r.peer.String()
+		r.batch, r.err = fetch(fetchContext)
 		select {
-		case f.results <- result{batch: batch, err: err, source: "peer " + peer.String(), peer: peer}:
+		case f.results <- r:
 		case <-ctx.Done():
 		}
 	})
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -23,6 +23,9 @@
 	router.Position
 	// IsSnapshot is set on a batch of all items, not only of the changed ones.
 	IsSnapshot bool
+	// KnowsDepartures is set if the peer that sent the batch knows the targets that
+	// departed before it started.
+	KnowsDepartures bool
 	// ConfirmedAt is when the batch was last known to be current.
 	ConfirmedAt time.Time
 }
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -124,7 +124,7 @@
 	case ok && p.Mark.Hops < maxHops:
 		hop.Mark.Hops++
 		return Decision{Action: PassOn, Hop: hop}
-	case !p.SYN && !p.RST && p.Mark.Hops < maxHops && age < router.MaxConclusiveAge:
+	case !p.SYN && !p.RST && p.Mark.Hops < maxHops && table.ProvesNoHolder(age):
 		return Decision{Action: Reset}
 	}
 	return Decision{Action: Drop}
--- a/internal/placer/agent_test.go
+++ b/internal/placer/agent_test.go
@@ -129,3 +129,15 @@
 		is.True(a.acceptsNewFlow(serving, route, p, 0, now))
 	})
 }
+
+// TestUnknownDepartures guards against the reset of a flow whose target departed
+// before the agent started: its table does not list the target.
+func TestUnknownDepartures(t *testing.T) {
+	is := is.New(t)
+	a := newAgent()
+	data := packet(1, func(p *framer.Packet) { p.Mark.Progress = framer.NewProgress(1, framer.FullPass) })
+	table, route := newTable(func(*router.Target) {})
+	is.Equal(a.PassOn(table, route, data, 0).Action, Reset)
+	table.MarkWithoutDepartures()
+	is.Equal(a.PassOn(table, route, data, 0).Action, Drop)
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -58,6 +58,8 @@
 	Stamp  Stamp
 	Config *router.Config
 	Target *router.Target
+	// Departure is the last target of a removed item, if it is known.
+	Departure *Departure
 }
 
 // IsGone reports whether the item was removed or can't be decoded.
@@ -91,7 +93,7 @@
 	// lastTarget is the target before its entry disappeared at removedAt.
 	lastTarget *router.Target
 	removedAt  time.Time
-	// usedAt is when the removed target last held flows.
+	// usedAt is when the removed target last held flows, if that was after removedAt.
 	usedAt time.Time
 	// propagatedAt is the time from which every process knows the target.
 	propagatedAt time.Time
@@ -105,6 +107,9 @@
 	position router.Position
 	// oldestBase is the earliest position since which every removal is known.
 	oldestBase router.Position
+	// knowsDepartures is set when targets that departed before this process started
+	// are known, or can't be learnt.
+	knowsDepartures bool
 }
 
 // NewRegistrar returns a registrar without items.
@@ -164,6 +169,8 @@
 	} else if !c.supersedes(known.change, isSnapshot) {
 		return false
 	}
+	departure := c.Departure
+	c.Departure = nil
 	if c.Config != nil && c.Config.Version > r.config.Version {
 		r.config = *c.Config
 	}
@@ -177,6 +184,7 @@
 		if c.Stamp.Compare(known.change.Stamp) < 0 {
 			c.Stamp = known.change.Stamp
 		}
+		known.adopt(departure)
 	}
 	if c.Target != nil {
 		if last := known.lastTarget; last != nil && c.Epoch != known.change.Epoch && c.Stamp == known.change.Stamp {
@@ -235,6 +243,7 @@
 	isSnapshot = after.Compare(r.oldestBase) < 0
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
 		if c := r.records[key].change; c.Compare(after) > 0 || isSnapshot {
+			c.Departure = r.records[key].departure()
 			changes = append(changes, c)
 		}
 	}
@@ -256,7 +265,11 @@
 			latest[t.Address] = t
 		}
 	}
-	return router.NewTable(r.config, slices.Collect(maps.Values(latest)), r.position)
+	table := router.NewTable(r.config, slices.Collect(maps.Values(latest)), r.position)
+	if !r.knowsDepartures {
+		table.MarkWithoutDepartures()
+	}
+	return table
 }
 
 // target returns the target of the record with its state as of now, or false if
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -17,9 +17,9 @@
 
 // MaxConclusiveAge is the maximum age of a table whose missing entries are
 // conclusive: that an address is not published, that a target was removed and,
-// after a complete search, that no target holds a flow. This requires that
-// targets which other processes may not know yet get no flows; see package
-// chooser.
+// after a complete search, that no target holds a flow. The last requires that
+// targets which other processes may not know yet get no flows, see package
+// chooser, and that the table has the removed targets that may hold flows.
 const MaxConclusiveAge = 1500 * time.Millisecond
 
 // Table is an immutable routing table. It is safe for concurrent use.
@@ -31,6 +31,8 @@
 	targets     map[uint32]*Target
 	rankings    map[string]*selector.Table
 	byAddress   map[netip.AddrPort]uint32
+	// lacksDepartures is set if removed targets that may hold flows may be missing.
+	lacksDepartures bool
 }
 
 // NewTable returns a table for the configuration and targets, complete up to the
@@ -59,6 +61,17 @@
 	return t
 }
 
+// MarkWithoutDepartures records that removed targets that may hold flows may be
+// missing: a process that has just started does not know those that were removed
+// before. It must be called before the table is shared.
+func (t *Table) MarkWithoutDepartures() { t.lacksDepartures = true }
+
+// ProvesNoHolder reports whether a complete search without a target proves that no
+// target holds the flow, for a table that was last known to be current a time ago.
+func (t *Table) ProvesNoHolder(age time.Duration) bool {
+	return !t.lacksDepartures && age < MaxConclusiveAge
+}
+
 // Version returns the configuration version.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -79,6 +79,10 @@
 	return follower.FetchChanges(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()), after)
 }
 
+func (r *Runner) fetchDepartures(ctx context.Context, peer netip.Addr) (follower.Batch, error) {
+	return follower.FetchDepartures(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()))
+}
+
 // isTargetInUse reports whether the agent of a target answers and says that the
 // target holds flows and serves them.
 func (r *Runner) isTargetInUse(target uint32) bool {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -122,7 +122,7 @@
 	}
 	r.chooser = chooser.NewChooser(r.signaller.IsDown, r.agentReport)
 	r.follower = follower.NewFollower(follower.Options{
-		Source: platform.Source, FetchChanges: r.fetchChanges, Peers: r.followerPeers, Seeds: r.seeds, IsPlatformReader: r.isPlatformReader,
+		Source: platform.Source, FetchChanges: r.fetchChanges, FetchDepartures: r.fetchDepartures, Peers: r.followerPeers, Seeds: r.seeds, IsPlatformReader: r.isPlatformReader,
 		IsInUse:  r.isTargetInUse,
 		Deadline: settings.Packets().ChangeDeadline(), StartSpread: settings.StartSpread(), Logger: logger,
 	})
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -57,12 +57,24 @@
 	w.after(firstReadDelay, func() {
 		if p.isUp && p.startedAt.Equal(started) {
 			p.registrar.MergeSnapshot(w.store.items(), w.store.position(), w.now)
+			p.learnDepartures()
 			p.table = p.registrar.BuildTable(w.now)
 			w.after(w.drawDuration(tickInterval), p.requestBeacons)
 		}
 	})
 }
 
+// learnDepartures takes over the departed targets that another process knows.
+func (p *process) learnDepartures() {
+	for _, a := range p.world.agents {
+		if &a.process != p && a.isUp && a.table != nil {
+			p.registrar.MergeDepartures(a.registrar.Departures())
+			break
+		}
+	}
+	p.registrar.FinishDepartures()
+}
+
 // requestBeacons asks every agent for a beacon.
 func (p *process) requestBeacons() {
 	w := p.world
