Refuse odd entries of other writers as a whole, with bounded texts

Texts of an entry had no bound: one of 900 KB in a name filled the message by which peers fetch the table, and error texts repeated whole values in the log.

Replies between processes are cut by size, not by number of items.

--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"google.golang.org/protobuf/proto"
 
 	"kingcupvalve.example/kingcupvalve/internal/messenger"
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
@@ -14,9 +15,10 @@
 	"kingcupvalve.example/kingcupvalve/internal/wirepb"
 )
 
-// itemsPerReply keeps a reply below the size limit of a message: a target takes
-// about 100 bytes, and a configuration with 1,000 routes about 100 KB.
-const itemsPerReply = 500
+// replyBytes is the size from which on a reply takes no further item. The largest
+// item is a configuration of the size of a platform value, so a reply stays below
+// messenger.DefaultMaxMessageBytes.
+const replyBytes = 32 << 10
 
 // FetchChanges fetches the changes after a position from the process at an
 // address, or all items if that process does not know every removal since. It
@@ -103,18 +105,20 @@
 func sendBatch(stream *messenger.Stream, batch Batch) error {
 	changes, now := batch.Changes, time.Now()
 	for {
-		n := min(len(changes), itemsPerReply)
 		reply := &wirepb.TableReply{
-			Epoch: batch.Epoch, Revision: batch.Revision, IsSnapshot: batch.IsSnapshot, More: n < len(changes),
+			Epoch: batch.Epoch, Revision: batch.Revision, IsSnapshot: batch.IsSnapshot,
 			ConfirmedAgeMs: encodeAge(batch.ConfirmedAt, now), KnowsDepartures: batch.KnowsDepartures,
 		}
-		for _, c := range changes[:n] {
-			reply.Items = append(reply.Items, encodeItem(c, now))
+		for size := 0; len(changes) > 0 && size < replyBytes; changes = changes[1:] {
+			item := encodeItem(changes[0], now)
+			reply.Items = append(reply.Items, item)
+			size += proto.Size(item)
 		}
+		reply.More = len(changes) > 0
 		if err := stream.Send(&wirepb.Envelope{Body: &wirepb.Envelope_TableReply{TableReply: reply}}); err != nil {
 			return err
 		}
-		if changes = changes[n:]; len(changes) == 0 {
+		if !reply.More {
 			return nil
 		}
 	}
@@ -128,6 +132,7 @@
 func encodeItem(c registrar.Change, now time.Time) *wirepb.TableItem {
 	item := &wirepb.TableItem{
 		Key: c.Key, Epoch: c.Epoch, Revision: c.Revision, StampStartedMs: c.Stamp.StartedMs, StampNumber: c.Stamp.Number,
+		Problem: c.Problem,
 	}
 	if c.Config != nil {
 		item.Config = &wirepb.RoutingConfig{
@@ -165,7 +170,8 @@
 func decodeItem(item *wirepb.TableItem, now time.Time) registrar.Change {
 	change := registrar.Change{
 		Key: item.GetKey(), Position: router.Position{Epoch: item.GetEpoch(), Revision: item.GetRevision()},
-		Stamp: registrar.Stamp{StartedMs: item.GetStampStartedMs(), Number: item.GetStampNumber()},
+		Stamp:   registrar.Stamp{StartedMs: item.GetStampStartedMs(), Number: item.GetStampNumber()},
+		Problem: item.GetProblem(),
 	}
 	if c := item.GetConfig(); c != nil {
 		change.Config = &router.Config{
--- a/internal/follower/exchange_test.go
+++ b/internal/follower/exchange_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +61,31 @@
 	is.True(got.ConfirmedAt.Before(time.Now().Add(-time.Minute / 2)))
 }
 
+// TestLargeExchange guards against a table that no peer can fetch, because the texts
+// of entries and a configuration of the size of a platform value fill a message.
+func TestLargeExchange(t *testing.T) {
+	is := is.New(t)
+	name := strings.Repeat("x", 200)
+	sent := Batch{Position: router.Position{Revision: 9}, ConfirmedAt: time.Now()}
+	sent.Changes = append(sent.Changes, registrar.Change{Key: "config", Config: &router.Config{Services: []string{strings.Repeat("x", 1<<20)}}})
+	for i := range 2000 {
+		id := fmt.Sprint(name, i)
+		position := router.Position{Revision: uint64(i)}
+		sent.Changes = append(sent.Changes, registrar.Change{Key: id, Position: position, Target: &router.Target{
+			ID: id, Service: name, Zone: name, Address: netip.MustParseAddrPort("10.0.0.1:80"), Position: position,
+		}})
+	}
+	server, client := startMessenger(t), startMessenger(t)
+	server.Handle(messenger.LaneControl, func(_ context.Context, s *messenger.Stream) {
+		if _, err := s.Receive(); err == nil {
+			_ = sendBatch(s, sent)
+		}
+	})
+	got, err := FetchChanges(t.Context(), client, server.Address(), router.Position{})
+	is.NoErr(err)
+	is.Equal(got.Changes, sent.Changes)
+}
+
 // TestDepartureExchange guards against departed targets that a peer hands over
 // without their position, state or age: a later target at the address would lose to
 // them, a draining one would get new flows, and old ones would never leave the table.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -26,9 +26,11 @@
 package registrar
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 
 	"kingcupvalve.example/kingcupvalve/internal/router"
@@ -60,6 +62,8 @@
 	Target *router.Target
 	// Departure is the last target of a removed item, if it is known.
 	Departure *Departure
+	// Problem says why an item that is not removed can't be decoded.
+	Problem string
 }
 
 // IsGone reports whether the item was removed or can't be decoded.
@@ -169,7 +173,7 @@
 	} else if !c.supersedes(known.change, isSnapshot) {
 		return false
 	}
-	departure := c.Departure
+	departure, isNews := c.Departure, true
 	c.Departure = nil
 	if c.Config != nil && c.Config.Version > r.config.Version {
 		r.config = *c.Config
@@ -184,7 +188,8 @@
 		if c.Stamp.Compare(known.change.Stamp) < 0 {
 			c.Stamp = known.change.Stamp
 		}
-		known.adopt(departure)
+		// An odd entry may be written again and again; the table stays as it is.
+		isNews = known.adopt(departure) || !isKnown || !known.change.IsGone()
 	}
 	if c.Target != nil {
 		if last := known.lastTarget; last != nil && c.Epoch != known.change.Epoch && c.Stamp == known.change.Stamp {
@@ -196,7 +201,7 @@
 		}
 	}
 	known.change = c
-	return true
+	return isNews
 }
 
 // lists reports whether a listed target has the address and service of another
@@ -256,7 +261,11 @@
 // publish an address can still be running there.
 func (r *Registrar) BuildTable(now time.Time) *router.Table {
 	latest := make(map[netip.AddrPort]router.Target)
+	var refused []router.RefusedEntry
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
+		if reason := r.findProblem(r.records[key].change); reason != "" {
+			refused = append(refused, router.RefusedEntry{Key: key, Position: r.records[key].change.Position, Reason: reason})
+		}
 		t, ok := r.records[key].target(now)
 		if !ok || !slices.Contains(r.config.Services, t.Service) {
 			continue
@@ -265,13 +274,26 @@
 			latest[t.Address] = t
 		}
 	}
-	table := router.NewTable(r.config, slices.Collect(maps.Values(latest)), r.position)
+	// The order decides which of two targets with the same number is kept, and must be
+	// the same in every process.
+	targets := slices.SortedFunc(maps.Values(latest), func(a, b router.Target) int { return cmp.Compare(a.ID, b.ID) })
+	table := router.NewTable(r.config, targets, r.position)
+	table.SetRefused(refused)
 	if !r.knowsDepartures {
 		table.MarkWithoutDepartures()
 	}
 	return table
 }
 
+// findProblem returns why an entry names no target to use, or "" if it names one or
+// is no entry.
+func (r *Registrar) findProblem(c Change) string {
+	if c.Target != nil && !slices.Contains(r.config.Services, c.Target.Service) {
+		return "service " + strconv.Quote(c.Target.Service) + " is not in the configuration"
+	}
+	return c.Problem
+}
+
 // target returns the target of the record with its state as of now, or false if
 // there is none.
 func (r *record) target(now time.Time) (router.Target, bool) {
