Continue searches behind an entry that names a balancer

Cause: an entry of another writer may name the address of a balancer. The balancer took a packet sent there for one of a caller and started its search again, which led to the same entry: the packet went round until the process ran out of time, and the flow got no answer.

Change: a packet with a mark came from another process; the balancer passes it on to the next target of its search, and counts it.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -28,19 +28,20 @@
 )
 
 var (
-	forwarded  = metrics.GetOrCreateCounter("kingcupvalve_steerer_packets_forwarded_total")
-	opened     = metrics.GetOrCreateCounter("kingcupvalve_steerer_flows_opened_total")
-	malformed  = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="malformed"}`)
-	unrouted   = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="unrouted"}`)
-	untargeted = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="untargeted"}`)
-	resetsSent = metrics.GetOrCreateCounter("kingcupvalve_steerer_resets_total")
+	forwarded   = metrics.GetOrCreateCounter("kingcupvalve_steerer_packets_forwarded_total")
+	opened      = metrics.GetOrCreateCounter("kingcupvalve_steerer_flows_opened_total")
+	malformed   = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="malformed"}`)
+	unrouted    = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="unrouted"}`)
+	untargeted  = metrics.GetOrCreateCounter(`kingcupvalve_steerer_packets_dropped_total{reason="untargeted"}`)
+	misdirected = metrics.GetOrCreateCounter("kingcupvalve_steerer_packets_misdirected_total")
+	resetsSent  = metrics.GetOrCreateCounter("kingcupvalve_steerer_resets_total")
 )
 
 // Counters returns the packet counters of the process by name.
 func Counters() map[string]uint64 {
 	return map[string]uint64{
 		"packets_forwarded": forwarded.Get(), "flows_opened": opened.Get(), "drop_malformed": malformed.Get(),
-		"drop_unrouted": unrouted.Get(), "drop_untargeted": untargeted.Get(), "resets_sent": resetsSent.Get(),
+		"drop_unrouted": unrouted.Get(), "drop_untargeted": untargeted.Get(), "packets_misdirected": misdirected.Get(), "resets_sent": resetsSent.Get(),
 	}
 }
 
@@ -125,8 +126,7 @@
 		}
 		return
 	}
-	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: f.options.Address.Addr()}
-	hop, ok := f.placer.Place(table, route, p)
+	hop, ok := f.findHop(table, route, p)
 	if !ok {
 		untargeted.Inc()
 		if p.SYN {
@@ -146,6 +146,17 @@
 	forwarded.Inc()
 }
 
+// findHop returns the target of a packet. A packet that has a mark already came from
+// another process.
+func (f *Forwarder) findHop(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+	if p.Mark.Via.IsValid() {
+		misdirected.Inc()
+		return f.placer.PassOn(table, route, p)
+	}
+	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: f.options.Address.Addr()}
+	return f.placer.Place(table, route, p)
+}
+
 func (f *Forwarder) logNewFlow(table *router.Table, route *router.Route, hop router.Hop, p framer.Packet, now time.Time) {
 	f.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).
 		Str("route", route.Name).Str("target", hop.Target.ID).Stringer("address", hop.Target.Address).Uint32("copy", p.AckNumber).
--- a/internal/placer/balancer.go
+++ b/internal/placer/balancer.go
@@ -68,6 +68,19 @@
 	return table.FindNextHop(route, key, p.Mark, b.chooser.AcceptOpenFlow())
 }
 
+// PassOn returns the next target of a packet that another process sent here. An
+// entry may name the address of a balancer, where no agent runs; the search goes on
+// behind that entry, like at an agent whose target does not hold the flow.
+func (b *Balancer) PassOn(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+	accept := b.chooser.AcceptOpenFlow()
+	if p.SYN {
+		accept = b.chooser.AcceptNewFlow(route.SelectService(p.Key()))
+	}
+	hop, ok := table.FindNextHop(route, p.Key(), p.Mark, accept)
+	hop.Mark.Hops++
+	return hop, ok && p.Mark.Hops < maxHops
+}
+
 // placeNewFlow chooses the target of a new flow. A retransmitted opening packet
 // shows that the previously chosen target did not answer, so it goes to another
 // target if there is one.
