List refused entries, and count targets by state

Cause: operators could not see which entries name no target and why, and the list of targets has hundreds of rows at the size of the fleet.

--- a/internal/api/operator/oas_client_gen.go
+++ b/internal/api/operator/oas_client_gen.go
@@ -35,6 +35,10 @@
 	//
 	// GET /v1/flows
 	ListFlows(ctx context.Context, params ListFlowsParams) ([]Flow, error)
+	// ListRefusedEntries invokes listRefusedEntries operation.
+	//
+	// GET /v1/refused_entries
+	ListRefusedEntries(ctx context.Context) ([]RefusedEntry, error)
 	// ListTargets invokes listTargets operation.
 	//
 	// GET /v1/targets
@@ -251,6 +255,47 @@
 	return result, nil
 }
 
+// ListRefusedEntries invokes listRefusedEntries operation.
+//
+// GET /v1/refused_entries
+func (c *Client) ListRefusedEntries(ctx context.Context) ([]RefusedEntry, error) {
+	res, err := c.sendListRefusedEntries(ctx)
+	return res, err
+}
+
+func (c *Client) sendListRefusedEntries(ctx context.Context) (res []RefusedEntry, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/refused_entries"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListRefusedEntriesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListTargets invokes listTargets operation.
 //
 // GET /v1/targets
--- a/internal/api/operator/oas_handlers_gen.go
+++ b/internal/api/operator/oas_handlers_gen.go
@@ -290,6 +290,80 @@
 	}
 }
 
+// handleListRefusedEntriesRequest handles listRefusedEntries operation.
+//
+// GET /v1/refused_entries
+func (s *Server) handleListRefusedEntriesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response []RefusedEntry
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListRefusedEntriesOperation,
+			OperationSummary: "",
+			OperationID:      "listRefusedEntries",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = []RefusedEntry
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListRefusedEntries(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListRefusedEntries(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*ProblemStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListRefusedEntriesResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListTargetsRequest handles listTargets operation.
 //
 // GET /v1/targets
--- a/internal/api/operator/oas_json_gen.go
+++ b/internal/api/operator/oas_json_gen.go
@@ -1074,6 +1074,136 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *RefusedEntry) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *RefusedEntry) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("key")
+		e.Str(s.Key)
+	}
+	{
+		e.FieldStart("revision")
+		e.Int64(s.Revision)
+	}
+	{
+		e.FieldStart("reason")
+		e.Str(s.Reason)
+	}
+}
+
+var jsonFieldsNameOfRefusedEntry = [3]string{
+	0: "key",
+	1: "revision",
+	2: "reason",
+}
+
+// Decode decodes RefusedEntry from json.
+func (s *RefusedEntry) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode RefusedEntry to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "key":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Key = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"key\"")
+			}
+		case "revision":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Revision = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"revision\"")
+			}
+		case "reason":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Reason = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"reason\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode RefusedEntry")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfRefusedEntry) {
+					name = jsonFieldsNameOfRefusedEntry[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *RefusedEntry) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *RefusedEntry) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Status) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/api/operator/oas_operations_gen.go
+++ b/internal/api/operator/oas_operations_gen.go
@@ -6,9 +6,10 @@
 type OperationName = string
 
 const (
-	GetBurnOperation     OperationName = "GetBurn"
-	GetStatusOperation   OperationName = "GetStatus"
-	ListFlowsOperation   OperationName = "ListFlows"
-	ListTargetsOperation OperationName = "ListTargets"
-	StartDrainOperation  OperationName = "StartDrain"
+	GetBurnOperation            OperationName = "GetBurn"
+	GetStatusOperation          OperationName = "GetStatus"
+	ListFlowsOperation          OperationName = "ListFlows"
+	ListRefusedEntriesOperation OperationName = "ListRefusedEntries"
+	ListTargetsOperation        OperationName = "ListTargets"
+	StartDrainOperation         OperationName = "StartDrain"
 )
--- a/internal/api/operator/oas_response_decoders_gen.go
+++ b/internal/api/operator/oas_response_decoders_gen.go
@@ -298,6 +298,106 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeListRefusedEntriesResponse(resp *http.Response) (res []RefusedEntry, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response []RefusedEntry
+			if err := func() error {
+				response = make([]RefusedEntry, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem RefusedEntry
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					response = append(response, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if response == nil {
+					return errors.New("nil is invalid value")
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *ProblemStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Problem
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &ProblemStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListTargetsResponse(resp *http.Response) (res []TargetState, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/internal/api/operator/oas_response_encoders_gen.go
+++ b/internal/api/operator/oas_response_encoders_gen.go
@@ -79,6 +79,31 @@
 	return nil
 }
 
+func encodeListRefusedEntriesResponse(response []RefusedEntry, w http.ResponseWriter) error {
+	if err := func() error {
+		if response == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		return errors.Wrap(err, "validate")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	e.ArrStart()
+	for _, elem := range response {
+		elem.Encode(e)
+	}
+	e.ArrEnd()
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListTargetsResponse(response []TargetState, w http.ResponseWriter) error {
 	if err := func() error {
 		if response == nil {
--- a/internal/api/operator/oas_router_gen.go
+++ b/internal/api/operator/oas_router_gen.go
@@ -135,6 +135,31 @@
 					return
 				}
 
+			case 'r': // Prefix: "refused_entries"
+
+				if l := len("refused_entries"); len(elem) >= l && elem[0:l] == "refused_entries" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleListRefusedEntriesRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
@@ -360,6 +385,31 @@
 					}
 				}
 
+			case 'r': // Prefix: "refused_entries"
+
+				if l := len("refused_entries"); len(elem) >= l && elem[0:l] == "refused_entries" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ListRefusedEntriesOperation
+						r.summary = ""
+						r.operationID = "listRefusedEntries"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/refused_entries"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			case 's': // Prefix: "status"
 
 				if l := len("status"); len(elem) >= l && elem[0:l] == "status" {
--- a/internal/api/operator/oas_schemas_gen.go
+++ b/internal/api/operator/oas_schemas_gen.go
@@ -679,6 +679,44 @@
 	s.Response = val
 }
 
+// Ref: #/components/schemas/RefusedEntry
+type RefusedEntry struct {
+	Key string `json:"key"`
+	// Revision of the entry's last change.
+	Revision int64  `json:"revision"`
+	Reason   string `json:"reason"`
+}
+
+// GetKey returns the value of Key.
+func (s *RefusedEntry) GetKey() string {
+	return s.Key
+}
+
+// GetRevision returns the value of Revision.
+func (s *RefusedEntry) GetRevision() int64 {
+	return s.Revision
+}
+
+// GetReason returns the value of Reason.
+func (s *RefusedEntry) GetReason() string {
+	return s.Reason
+}
+
+// SetKey sets the value of Key.
+func (s *RefusedEntry) SetKey(val string) {
+	s.Key = val
+}
+
+// SetRevision sets the value of Revision.
+func (s *RefusedEntry) SetRevision(val int64) {
+	s.Revision = val
+}
+
+// SetReason sets the value of Reason.
+func (s *RefusedEntry) SetReason(val string) {
+	s.Reason = val
+}
+
 // StartDrainAccepted is response for StartDrain operation.
 type StartDrainAccepted struct{}
 
--- a/internal/api/operator/oas_server_gen.go
+++ b/internal/api/operator/oas_server_gen.go
@@ -22,6 +22,10 @@
 	//
 	// GET /v1/flows
 	ListFlows(ctx context.Context, params ListFlowsParams) ([]Flow, error)
+	// ListRefusedEntries implements listRefusedEntries operation.
+	//
+	// GET /v1/refused_entries
+	ListRefusedEntries(ctx context.Context) ([]RefusedEntry, error)
 	// ListTargets implements listTargets operation.
 	//
 	// GET /v1/targets
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -134,7 +134,7 @@
 				Commands: []*cli.Command{c.checkCommand(), c.diffCommand(), c.explainCommand(), c.publishableCommand()},
 				Action:   requireCommand,
 			},
-			c.statusCommand(), c.targetsCommand(), c.flowsCommand(), c.drainCommand(), c.explainFlowCommand(),
+			c.statusCommand(), c.targetsCommand(), c.refusedEntriesCommand(), c.flowsCommand(), c.drainCommand(), c.explainFlowCommand(),
 			{Name: "report", Usage: "reports over daemons", Commands: []*cli.Command{c.burnCommand()}, Action: requireCommand},
 		},
 		Action: requireCommand,
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -123,6 +123,9 @@
 				Weight: 50, Running: api.NewOptInt32(2), Slots: api.NewOptInt32(4), ShortCostMs: api.NewOptFloat64(12.25),
 			}}
 		},
+		RefusedEntries: func() []api.RefusedEntry {
+			return []api.RefusedEntry{{Key: "targets/other-1", Revision: 17, Reason: `slots: field of another type`}}
+		},
 		Flows: func(int) []api.Flow {
 			return []api.Flow{{Caller: "198.51.100.7:40000", Service: "poster-live", OpenedAt: now.Add(-90 * time.Minute), Requests: 12, Feeds: api.NewOptInt32(1)}}
 		},
@@ -146,6 +149,10 @@
 		{"status_unreachable", []string{"status", "@", "--daemon", "192.0.2.9:7003"}, ExitUnreachable},
 		{"status_no_daemon", []string{"status", "@"}, ExitFailure},
 		{"targets", []string{"targets", "@", "--daemons-file", daemons}, ExitDone},
+		{"targets_zone", []string{"targets", "@", "--daemons-file", daemons, "--zone", "tb-b"}, ExitDone},
+		{"targets_state", []string{"targets", "@", "--daemons-file", daemons, "--state", "asleep"}, ExitFailure},
+		{"refused_entries", []string{"refused-entries", "@", "--daemons-file", daemons}, ExitDone},
+		{"refused_entries_json", []string{"--output", "json", "refused-entries", "@", "--daemons-file", daemons}, ExitDone},
 		{"flows", []string{"flows", "@", "--daemons-file", daemons}, ExitDone},
 		{"flows_limit", []string{"flows", "@", "--daemons-file", daemons, "--limit", "0"}, ExitFailure},
 		{"drain_several", []string{"drain", "@", "--daemons-file", daemons}, ExitFailure},
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -87,47 +87,6 @@
 	return c.out.writeTable(table.Row{"PROCESS", "COUNTER", "VALUE"}, counterRows)
 }
 
-func (c *Commander) targetsCommand() *cli.Command {
-	return &cli.Command{
-		Name: "targets", Usage: "show the targets as each daemon sees them",
-		Flags:  daemonFlags(&cli.StringFlag{Name: "service", Usage: "show the targets of one service"}),
-		Action: c.runTargets,
-	}
-}
-
-func (c *Commander) runTargets(ctx context.Context, cmd *cli.Command) error {
-	if _, err := requireArguments(cmd, 0, 0); err != nil {
-		return err
-	}
-	params := api.ListTargetsParams{}
-	if service := cmd.String("service"); service != "" {
-		params.Service = api.NewOptString(service)
-	}
-	all, err := askDaemons(ctx, c, cmd, func(ctx context.Context, _ string, client *api.Client) ([]api.TargetState, error) {
-		return client.ListTargets(ctx, params)
-	})
-	if err != nil {
-		return err
-	}
-	if err := c.out.write(all, func() error {
-		var rows []table.Row
-		for _, a := range all.Results {
-			for _, t := range a.Result {
-				rows = append(rows, table.Row{
-					a.Daemon, t.Service, t.Target, t.Number, t.AvailabilityZone.Or(""), t.State, t.Weight,
-					optional(t.Running), optional(t.Queued), optional(t.Slots), optionalMs(t.ShortCostMs), optionalMs(t.LongCostMs), optional(t.LastSeenMs), t.Reason.Or(""),
-				})
-			}
-		}
-		return c.out.writeTable(table.Row{
-			"DAEMON", "SERVICE", "TARGET", "NUMBER", "ZONE", "STATE", "WEIGHT", "RUNNING", "QUEUED", "SLOTS", "SHORT MS", "LONG MS", "SEEN MS AGO", "REASON",
-		}, rows)
-	}); err != nil {
-		return err
-	}
-	return finish(c, all)
-}
-
 func (c *Commander) flowsCommand() *cli.Command {
 	return &cli.Command{
 		Name: "flows", Usage: "show the open flows of agents",
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -39,6 +39,14 @@
 	return append([]api.TargetState{}, h.options.Targets(params.Service.Or(""))...), nil
 }
 
+// ListRefusedEntries returns the entries of the platform that name no target to use.
+func (h *handler) ListRefusedEntries(context.Context) ([]api.RefusedEntry, error) {
+	if h.options.RefusedEntries == nil {
+		return []api.RefusedEntry{}, nil
+	}
+	return append([]api.RefusedEntry{}, h.options.RefusedEntries()...), nil
+}
+
 // ListFlows returns the flows that the process holds.
 func (h *handler) ListFlows(_ context.Context, params api.ListFlowsParams) ([]api.Flow, error) {
 	if h.options.Flows == nil {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -62,6 +62,8 @@
 	// Targets returns the targets of a service, or of all services if service is
 	// empty.
 	Targets func(service string) []api.TargetState
+	// RefusedEntries returns the entries of the platform that name no target to use.
+	RefusedEntries func() []api.RefusedEntry
 	// Flows returns at most limit flows.
 	Flows func(limit int) []api.Flow
 	// Burn returns the outcome buckets and events since a time.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -81,6 +81,7 @@
 			o.Targets = func(service string) []api.TargetState {
 				return []api.TargetState{{Service: service, Target: "a", State: api.TargetStateStateServing}}
 			}
+			o.RefusedEntries = func() []api.RefusedEntry { return []api.RefusedEntry{{Key: "k", Reason: "no slots"}} }
 			o.Flows = func(int) []api.Flow { return make([]api.Flow, 5) }
 			o.Drain = func() { r.drains.Add(1) }
 			o.Burn = BurnSource(counts, "p", "a", time.Unix(1_790_000_000, 0))
@@ -92,6 +93,9 @@
 		targets, err := client.ListTargets(ctx, api.ListTargetsParams{Service: api.NewOptString("s")})
 		is.NoErr(err)
 		is.Equal(targets[0].Service, "s")
+		refused, err := client.ListRefusedEntries(ctx)
+		is.NoErr(err)
+		is.Equal(refused, []api.RefusedEntry{{Key: "k", Reason: "no slots"}})
 		flows, err := client.ListFlows(ctx, api.ListFlowsParams{Limit: api.NewOptInt(3)})
 		is.NoErr(err)
 		is.Equal(len(flows), 3)
@@ -109,6 +113,9 @@
 		targets, err := client.ListTargets(ctx, api.ListTargetsParams{})
 		is.NoErr(err)
 		is.Equal(len(targets), 0)
+		refused, err := client.ListRefusedEntries(ctx)
+		is.NoErr(err)
+		is.Equal(len(refused), 0)
 		burn, err := client.GetBurn(ctx, api.GetBurnParams{})
 		is.NoErr(err)
 		is.Equal(burn.Process, "p")
--- a/internal/presenter/presenter.go
+++ b/internal/presenter/presenter.go
@@ -166,6 +166,9 @@
 		Service: t.Service, Target: t.ID, Number: int64(n), Host: api.NewOptString(t.Address.Addr().String()), Weight: targetWeight,
 		Slots: api.NewOptInt32(int32(t.Slots)),
 	}
+	if t.Zone != "" {
+		state.AvailabilityZone = api.NewOptString(t.Zone)
+	}
 	peer, isKnown := p.options.Signaller.PeerOfTarget(n)
 	if isKnown {
 		state.Running, state.LastSeenMs = api.NewOptInt32(int32(peer.Running)), api.NewOptInt64(now.Sub(peer.HeardAt).Milliseconds())
@@ -210,6 +213,16 @@
 	return api.TargetStateStateServing, ""
 }
 
+// RefusedEntries returns the entries of the platform that name no target to use,
+// sorted by key.
+func (p *Presenter) RefusedEntries() []api.RefusedEntry {
+	var entries []api.RefusedEntry
+	for _, e := range p.options.Follower.Table().Refused() {
+		entries = append(entries, api.RefusedEntry{Key: e.Key, Revision: int64(e.Revision), Reason: e.Reason})
+	}
+	return entries
+}
+
 // Flows returns at most limit flows of the agent's target, and none in a balancer.
 func (p *Presenter) Flows(limit int) []api.Flow {
 	flows := []api.Flow{}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -31,6 +31,7 @@
 	targets     map[uint32]*Target
 	rankings    map[string]*selector.Table
 	byAddress   map[netip.AddrPort]uint32
+	refused     []RefusedEntry
 	// lacksDepartures is set if removed targets that may hold flows may be missing.
 	lacksDepartures bool
 }
@@ -66,6 +67,20 @@
 // before. It must be called before the table is shared.
 func (t *Table) MarkWithoutDepartures() { t.lacksDepartures = true }
 
+// RefusedEntry is an entry that names no target to use.
+type RefusedEntry struct {
+	Key string
+	Position
+	Reason string
+}
+
+// SetRefused sets the entries that name no target to use. It must be called before
+// the table is shared.
+func (t *Table) SetRefused(entries []RefusedEntry) { t.refused = entries }
+
+// Refused returns the entries that name no target to use, sorted by key.
+func (t *Table) Refused() []RefusedEntry { return t.refused }
+
 // ProvesNoHolder reports whether a complete search without a target proves that no
 // target holds the flow, for a table that was last known to be current a time ago.
 func (t *Table) ProvesNoHolder(age time.Duration) bool {
--- a/internal/runner/operator.go
+++ b/internal/runner/operator.go
@@ -28,7 +28,8 @@
 		return nil
 	}
 	r.operator, err = operator.NewEndpoint(ctx, address, r.settings.OperatorTLS(), operator.Options{
-		Logger: r.logger, Status: r.presenter.Status, Targets: r.presenter.Targets, Flows: r.presenter.Flows,
+		Logger: r.logger, Status: r.presenter.Status, Targets: r.presenter.Targets,
+		RefusedEntries: r.presenter.RefusedEntries, Flows: r.presenter.Flows,
 		Burn: r.presenter.Burn, Drain: r.requestDrain,
 	})
 	return err
