--- a/Makefile
+++ b/Makefile
@@ -57,19 +57,20 @@
 	./bin/prove -budget 1s -scenarios rolling_replacement,kills,address_move
 
 # The fault soak of packet flows: SEEDS runs from SEED on, each with LENGTH of faults.
-# RESTORES=-restores adds returns of the store from older copies.
+# RESTORES=-restores adds returns of the store from older copies, ODD=-odd odd entries
+# of other writers.
 SEED ?= 1
 SEEDS ?= 3
 LENGTH ?= 15s
 
 soak: build
-	./bin/soak -seed $(SEED) -seeds $(SEEDS) -length $(LENGTH) $(RESTORES)
+	./bin/soak -seed $(SEED) -seeds $(SEEDS) -length $(LENGTH) $(RESTORES) $(ODD)
 
 # The run of CI, and each seed that ever failed (see docs/soak.md).
 SOAK_REGRESSIONS = 1 109 149
 soak-short: build
 	@for seed in $(SOAK_REGRESSIONS); do ./bin/soak -seed $$seed -length 8s || exit 1; done
-	./bin/soak -seed 13 -length 8s -restores
+	./bin/soak -seed 13 -length 8s -restores -odd
 
 BASELINES = ^(policy|random|round_robin|least_connections|switch_uniform|switch_capacity)$$
 
--- a/standin/cmd/soak/main.go
+++ b/standin/cmd/soak/main.go
@@ -31,10 +31,11 @@
 	dir := flag.String("dir", "out/soak", "folder of settings and logs")
 	feeds := flag.Int("feeds", 4, "targets of the first service; the others follow in proportion")
 	restores := flag.Bool("restores", false, "let the store come back from older copies too")
+	odd := flag.Bool("odd", false, "write odd entries of other writers to the store too")
 	flag.Parse()
 	isViolated := false
 	for i := range *seeds {
-		ok, err := soak(*program, *seed+uint64(i), *length, *dir, *feeds, *restores)
+		ok, err := soak(*program, *seed+uint64(i), *length, *dir, *feeds, *restores, *odd)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
@@ -46,7 +47,7 @@
 	}
 }
 
-func soak(program string, seed uint64, length time.Duration, root string, feeds int, hasRestores bool) (bool, error) {
+func soak(program string, seed uint64, length time.Duration, root string, feeds int, hasRestores, hasOddEntries bool) (bool, error) {
 	dir, err := filepath.Abs(filepath.Join(root, fmt.Sprint("seed-", seed)))
 	if err != nil {
 		return false, err
@@ -62,6 +63,7 @@
 	s, err := soaker.NewSoak(soaker.Options{
 		Program: program, Seed: seed, Length: length, Dir: dir,
 		Balancers: max(2, feeds/2), Feeds: feeds, Bundles: max(2, feeds/2), HasRestores: hasRestores,
+		HasOddEntries: hasOddEntries,
 	})
 	if err != nil {
 		return false, err
--- a/standin/soaker/soak.go
+++ b/standin/soaker/soak.go
@@ -41,6 +41,8 @@
 	// HasRestores adds returns of the store from an older copy to the faults, which
 	// are otherwise those of the seed without it.
 	HasRestores bool
+	// HasOddEntries adds entries of other writers to the store.
+	HasOddEntries bool
 }
 
 func (o Options) withDefaults() (Options, error) {
@@ -106,6 +108,9 @@
 		return nil, fmt.Errorf("start route probe: %w", err)
 	}
 	group.Go(func() { s.probeRoute(ctx, host) })
+	if e.options.HasOddEntries {
+		group.Go(func() { s.writeOddEntries(ctx) })
+	}
 	s.injectFaults(ctx)
 	// Run on without faults so that steady-state guarantees are checked after
 	// recovery.
