Serve open flows at an agent that has no table yet

Cause: an agent that was stopped and started again dropped every packet of a caller until it had read a table, although its target had held the flows all the while. When the platform and the seeds do not answer, that lasts until they do.

Change: before the first table, packets that open no flow go to the agent's target, which returns those of flows that it does not hold. Opening packets are still dropped.

Result: TestUnrouted.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -125,11 +125,15 @@
 	}
 	table := d.options.Table()
 	route, ok := table.FindRoute(p.Destination)
-	if !ok {
-		unrouted.Inc()
-		return
+	decision := placer.Decision{Action: d.placer.DecideUnrouted(table, p)}
+	if ok {
+		decision = d.placer.Decide(table, route, p, d.options.TableAge(now), now)
 	}
-	if decision := d.placer.Decide(table, route, p, d.options.TableAge(now), now); decision.Action != placer.Deliver {
+	if decision.Action != placer.Deliver {
+		if !ok {
+			unrouted.Inc()
+			return
+		}
 		d.act(decision, table, p, datagram, writer, now)
 		return
 	}
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -79,6 +79,17 @@
 	return Decision{Action: Deliver}
 }
 
+// DecideUnrouted decides about a caller's packet to an address that the table does
+// not list. Before the first table is known, packets of open flows go to the agent's
+// target: an agent that was restarted serves the flows that its target has held all
+// the while, and the target returns what it does not hold.
+func (a *Agent) DecideUnrouted(table *router.Table, p framer.Packet) Action {
+	if table.Version() == 0 && !p.SYN {
+		return Deliver
+	}
+	return Drop
+}
+
 // acceptsNewFlow decides whether the agent's target gets a new flow.
 func (a *Agent) acceptsNewFlow(table *router.Table, route *router.Route, p framer.Packet, age time.Duration, now time.Time) bool {
 	key := p.Key()
--- a/internal/placer/agent_test.go
+++ b/internal/placer/agent_test.go
@@ -141,3 +141,17 @@
 	table.MarkWithoutDepartures()
 	is.Equal(a.PassOn(table, route, data, 0).Action, Drop)
 }
+
+// TestUnrouted guards against open flows that stall while an agent that was stopped
+// and started again has no table yet, and against new flows that are placed without
+// one (rule ROUTE).
+func TestUnrouted(t *testing.T) {
+	is := is.New(t)
+	a := newAgent()
+	none := router.NewTable(router.Config{}, nil, router.Position{})
+	data, opening := packet(1, func(*framer.Packet) {}), packet(1, setOpening)
+	is.Equal(a.DecideUnrouted(none, data), Deliver)
+	is.Equal(a.DecideUnrouted(none, opening), Drop)
+	withoutRoute := router.NewTable(router.Config{Version: 1}, nil, router.Position{Revision: 1})
+	is.Equal(a.DecideUnrouted(withoutRoute, data), Drop)
+}
