Decode entries of the host list one by one

Cause: the generated client decodes the host list of the HTTP/3 way as a whole, so that an entry with a wrong type, an unknown state or a number out of range made every read fail, and processes stopped following the list.

Change: the list holds raw entries; each is decoded and checked alone, and refused ones are counted. Ruled out: plain strings in place of the enumerations, which leaves wrong types and numbers.

Result: TestOddHosts, 10 kinds, passes; with the former schema the read fails as a whole. An entry nested deeper than 10,000 levels still fails the list, since the library can't skip it.

--- a/internal/api/platform/oas_json_gen.go
+++ b/internal/api/platform/oas_json_gen.go
@@ -34,7 +34,9 @@
 		e.FieldStart("hosts")
 		e.ArrStart()
 		for _, elem := range s.Hosts {
-			elem.Encode(e)
+			if len(elem) != 0 {
+				e.Raw(elem)
+			}
 		}
 		e.ArrEnd()
 	}
@@ -80,10 +82,12 @@
 		case "hosts":
 			requiredBitSet[0] |= 1 << 2
 			if err := func() error {
-				s.Hosts = make([]HostState, 0)
+				s.Hosts = make([]jx.Raw, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
-					var elem HostState
-					if err := elem.Decode(d); err != nil {
+					var elem jx.Raw
+					v, err := d.RawAppend(nil)
+					elem = jx.Raw(v)
+					if err != nil {
 						return err
 					}
 					s.Hosts = append(s.Hosts, elem)
@@ -151,282 +155,6 @@
 	return s.Decode(d)
 }
 
-// Encode implements json.Marshaler.
-func (s *HostState) Encode(e *jx.Encoder) {
-	e.ObjStart()
-	s.encodeFields(e)
-	e.ObjEnd()
-}
-
-// encodeFields encodes fields.
-func (s *HostState) encodeFields(e *jx.Encoder) {
-	{
-		e.FieldStart("name")
-		e.Str(s.Name)
-	}
-	{
-		e.FieldStart("role")
-		s.Role.Encode(e)
-	}
-	{
-		e.FieldStart("availability_zone")
-		e.Str(s.AvailabilityZone)
-	}
-	{
-		e.FieldStart("state")
-		s.State.Encode(e)
-	}
-	{
-		e.FieldStart("control_address")
-		e.Str(s.ControlAddress)
-	}
-	{
-		if s.TunnelAddress.Set {
-			e.FieldStart("tunnel_address")
-			s.TunnelAddress.Encode(e)
-		}
-	}
-	{
-		e.FieldStart("version")
-		e.Int64(s.Version)
-	}
-}
-
-var jsonFieldsNameOfHostState = [7]string{
-	0: "name",
-	1: "role",
-	2: "availability_zone",
-	3: "state",
-	4: "control_address",
-	5: "tunnel_address",
-	6: "version",
-}
-
-// Decode decodes HostState from json.
-func (s *HostState) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode HostState to nil")
-	}
-	var requiredBitSet [1]uint8
-
-	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
-		switch string(k) {
-		case "name":
-			requiredBitSet[0] |= 1 << 0
-			if err := func() error {
-				v, err := d.Str()
-				s.Name = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"name\"")
-			}
-		case "role":
-			requiredBitSet[0] |= 1 << 1
-			if err := func() error {
-				if err := s.Role.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"role\"")
-			}
-		case "availability_zone":
-			requiredBitSet[0] |= 1 << 2
-			if err := func() error {
-				v, err := d.Str()
-				s.AvailabilityZone = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"availability_zone\"")
-			}
-		case "state":
-			requiredBitSet[0] |= 1 << 3
-			if err := func() error {
-				if err := s.State.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"state\"")
-			}
-		case "control_address":
-			requiredBitSet[0] |= 1 << 4
-			if err := func() error {
-				v, err := d.Str()
-				s.ControlAddress = string(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"control_address\"")
-			}
-		case "tunnel_address":
-			if err := func() error {
-				s.TunnelAddress.Reset()
-				if err := s.TunnelAddress.Decode(d); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"tunnel_address\"")
-			}
-		case "version":
-			requiredBitSet[0] |= 1 << 6
-			if err := func() error {
-				v, err := d.Int64()
-				s.Version = int64(v)
-				if err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				return errors.Wrap(err, "decode field \"version\"")
-			}
-		default:
-			return d.Skip()
-		}
-		return nil
-	}); err != nil {
-		return errors.Wrap(err, "decode HostState")
-	}
-	// Validate required fields.
-	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b01011111,
-	} {
-		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
-			// Mask only required fields and check equality to mask using XOR.
-			//
-			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
-			// Bits of fields which would be set are actually bits of missed fields.
-			missed := bits.OnesCount8(result)
-			for bitN := 0; bitN < missed; bitN++ {
-				bitIdx := bits.TrailingZeros8(result)
-				fieldIdx := i*8 + bitIdx
-				var name string
-				if fieldIdx < len(jsonFieldsNameOfHostState) {
-					name = jsonFieldsNameOfHostState[fieldIdx]
-				} else {
-					name = strconv.Itoa(fieldIdx)
-				}
-				failures = append(failures, validate.FieldError{
-					Name:  name,
-					Error: validate.ErrFieldRequired,
-				})
-				// Reset bit.
-				result &^= 1 << bitIdx
-			}
-		}
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s *HostState) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *HostState) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes HostStateRole as json.
-func (s HostStateRole) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes HostStateRole from json.
-func (s *HostStateRole) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode HostStateRole to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch HostStateRole(v) {
-	case HostStateRoleBalancer:
-		*s = HostStateRoleBalancer
-	case HostStateRoleAgent:
-		*s = HostStateRoleAgent
-	default:
-		*s = HostStateRole(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s HostStateRole) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *HostStateRole) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
-// Encode encodes HostStateState as json.
-func (s HostStateState) Encode(e *jx.Encoder) {
-	e.Str(string(s))
-}
-
-// Decode decodes HostStateState from json.
-func (s *HostStateState) Decode(d *jx.Decoder) error {
-	if s == nil {
-		return errors.New("invalid: unable to decode HostStateState to nil")
-	}
-	v, err := d.StrBytes()
-	if err != nil {
-		return err
-	}
-	// Try to use constant string.
-	switch HostStateState(v) {
-	case HostStateStateLive:
-		*s = HostStateStateLive
-	case HostStateStateLeaving:
-		*s = HostStateStateLeaving
-	case HostStateStateRemoved:
-		*s = HostStateStateRemoved
-	default:
-		*s = HostStateState(v)
-	}
-
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s HostStateState) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *HostStateState) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode encodes int64 as json.
 func (o OptInt64) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -462,41 +190,6 @@
 	return s.Decode(d)
 }
 
-// Encode encodes string as json.
-func (o OptString) Encode(e *jx.Encoder) {
-	if !o.Set {
-		return
-	}
-	e.Str(string(o.Value))
-}
-
-// Decode decodes string from json.
-func (o *OptString) Decode(d *jx.Decoder) error {
-	if o == nil {
-		return errors.New("invalid: unable to decode OptString to nil")
-	}
-	o.Set = true
-	v, err := d.Str()
-	if err != nil {
-		return err
-	}
-	o.Value = string(v)
-	return nil
-}
-
-// MarshalJSON implements stdjson.Marshaler.
-func (s OptString) MarshalJSON() ([]byte, error) {
-	e := jx.Encoder{}
-	s.Encode(&e)
-	return e.Bytes(), nil
-}
-
-// UnmarshalJSON implements stdjson.Unmarshaler.
-func (s *OptString) UnmarshalJSON(data []byte) error {
-	d := jx.DecodeBytes(data)
-	return s.Decode(d)
-}
-
 // Encode implements json.Marshaler.
 func (s *Problem) Encode(e *jx.Encoder) {
 	e.ObjStart()
--- a/internal/api/platform/oas_schemas_gen.go
+++ b/internal/api/platform/oas_schemas_gen.go
@@ -5,16 +5,18 @@
 import (
 	"io"
 
-	"github.com/go-faster/errors"
+	"github.com/go-faster/jx"
 )
 
 // Ref: #/components/schemas/HostChanges
 type HostChanges struct {
 	// Number of times that the platform came back from an older copy of its data and gave out versions
 	// again. 0 if it is left out.
-	Epoch   OptInt64    `json:"epoch"`
-	Version int64       `json:"version"`
-	Hosts   []HostState `json:"hosts"`
+	Epoch   OptInt64 `json:"epoch"`
+	Version int64    `json:"version"`
+	// Each is a HostState. The client decodes them one by one, so that an odd one does not hide the
+	// others.
+	Hosts []jx.Raw `json:"hosts"`
 }
 
 // GetEpoch returns the value of Epoch.
@@ -28,7 +30,7 @@
 }
 
 // GetHosts returns the value of Hosts.
-func (s *HostChanges) GetHosts() []HostState {
+func (s *HostChanges) GetHosts() []jx.Raw {
 	return s.Hosts
 }
 
@@ -43,184 +45,12 @@
 }
 
 // SetHosts sets the value of Hosts.
-func (s *HostChanges) SetHosts(val []HostState) {
+func (s *HostChanges) SetHosts(val []jx.Raw) {
 	s.Hosts = val
 }
 
 func (*HostChanges) listHostsRes() {}
 
-// Ref: #/components/schemas/HostState
-type HostState struct {
-	Name             string         `json:"name"`
-	Role             HostStateRole  `json:"role"`
-	AvailabilityZone string         `json:"availability_zone"`
-	State            HostStateState `json:"state"`
-	// Address of the peer sessions as ip:port.
-	ControlAddress string `json:"control_address"`
-	// UDP address of the tunnel as ip:port.
-	TunnelAddress OptString `json:"tunnel_address"`
-	Version       int64     `json:"version"`
-}
-
-// GetName returns the value of Name.
-func (s *HostState) GetName() string {
-	return s.Name
-}
-
-// GetRole returns the value of Role.
-func (s *HostState) GetRole() HostStateRole {
-	return s.Role
-}
-
-// GetAvailabilityZone returns the value of AvailabilityZone.
-func (s *HostState) GetAvailabilityZone() string {
-	return s.AvailabilityZone
-}
-
-// GetState returns the value of State.
-func (s *HostState) GetState() HostStateState {
-	return s.State
-}
-
-// GetControlAddress returns the value of ControlAddress.
-func (s *HostState) GetControlAddress() string {
-	return s.ControlAddress
-}
-
-// GetTunnelAddress returns the value of TunnelAddress.
-func (s *HostState) GetTunnelAddress() OptString {
-	return s.TunnelAddress
-}
-
-// GetVersion returns the value of Version.
-func (s *HostState) GetVersion() int64 {
-	return s.Version
-}
-
-// SetName sets the value of Name.
-func (s *HostState) SetName(val string) {
-	s.Name = val
-}
-
-// SetRole sets the value of Role.
-func (s *HostState) SetRole(val HostStateRole) {
-	s.Role = val
-}
-
-// SetAvailabilityZone sets the value of AvailabilityZone.
-func (s *HostState) SetAvailabilityZone(val string) {
-	s.AvailabilityZone = val
-}
-
-// SetState sets the value of State.
-func (s *HostState) SetState(val HostStateState) {
-	s.State = val
-}
-
-// SetControlAddress sets the value of ControlAddress.
-func (s *HostState) SetControlAddress(val string) {
-	s.ControlAddress = val
-}
-
-// SetTunnelAddress sets the value of TunnelAddress.
-func (s *HostState) SetTunnelAddress(val OptString) {
-	s.TunnelAddress = val
-}
-
-// SetVersion sets the value of Version.
-func (s *HostState) SetVersion(val int64) {
-	s.Version = val
-}
-
-type HostStateRole string
-
-const (
-	HostStateRoleBalancer HostStateRole = "balancer"
-	HostStateRoleAgent    HostStateRole = "agent"
-)
-
-// AllValues returns all HostStateRole values.
-func (HostStateRole) AllValues() []HostStateRole {
-	return []HostStateRole{
-		HostStateRoleBalancer,
-		HostStateRoleAgent,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s HostStateRole) MarshalText() ([]byte, error) {
-	switch s {
-	case HostStateRoleBalancer:
-		return []byte(s), nil
-	case HostStateRoleAgent:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *HostStateRole) UnmarshalText(data []byte) error {
-	switch HostStateRole(data) {
-	case HostStateRoleBalancer:
-		*s = HostStateRoleBalancer
-		return nil
-	case HostStateRoleAgent:
-		*s = HostStateRoleAgent
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
-type HostStateState string
-
-const (
-	HostStateStateLive    HostStateState = "live"
-	HostStateStateLeaving HostStateState = "leaving"
-	HostStateStateRemoved HostStateState = "removed"
-)
-
-// AllValues returns all HostStateState values.
-func (HostStateState) AllValues() []HostStateState {
-	return []HostStateState{
-		HostStateStateLive,
-		HostStateStateLeaving,
-		HostStateStateRemoved,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s HostStateState) MarshalText() ([]byte, error) {
-	switch s {
-	case HostStateStateLive:
-		return []byte(s), nil
-	case HostStateStateLeaving:
-		return []byte(s), nil
-	case HostStateStateRemoved:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *HostStateState) UnmarshalText(data []byte) error {
-	switch HostStateState(data) {
-	case HostStateStateLive:
-		*s = HostStateStateLive
-		return nil
-	case HostStateStateLeaving:
-		*s = HostStateStateLeaving
-		return nil
-	case HostStateStateRemoved:
-		*s = HostStateStateRemoved
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
 // ListHostsNotModified is response for ListHosts operation.
 type ListHostsNotModified struct{}
 
@@ -272,52 +102,6 @@
 	return d
 }
 
-// NewOptString returns new OptString with value set to v.
-func NewOptString(v string) OptString {
-	return OptString{
-		Value: v,
-		Set:   true,
-	}
-}
-
-// OptString is optional string.
-type OptString struct {
-	Value string
-	Set   bool
-}
-
-// IsSet returns true if OptString was set.
-func (o OptString) IsSet() bool { return o.Set }
-
-// Reset unsets value.
-func (o *OptString) Reset() {
-	var v string
-	o.Value = v
-	o.Set = false
-}
-
-// SetTo sets value to v.
-func (o *OptString) SetTo(v string) {
-	o.Set = true
-	o.Value = v
-}
-
-// Get returns value and boolean that denotes whether value was set.
-func (o OptString) Get() (v string, ok bool) {
-	if !o.Set {
-		return v, false
-	}
-	return o.Value, true
-}
-
-// Or returns value if set, or given parameter if does not.
-func (o OptString) Or(d string) string {
-	if v, ok := o.Get(); ok {
-		return v
-	}
-	return d
-}
-
 // Ref: #/components/schemas/Problem
 type Problem struct {
 	Message string `json:"message"`
--- a/internal/api/platform/oas_validators_gen.go
+++ b/internal/api/platform/oas_validators_gen.go
@@ -3,8 +3,6 @@
 package platform
 
 import (
-	"fmt"
-
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
@@ -19,23 +17,6 @@
 		if s.Hosts == nil {
 			return errors.New("nil is invalid value")
 		}
-		var failures []validate.FieldError
-		for i, elem := range s.Hosts {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
@@ -48,61 +29,3 @@
 	}
 	return nil
 }
-
-func (s *HostState) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if err := s.Role.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "role",
-			Error: err,
-		})
-	}
-	if err := func() error {
-		if err := s.State.Validate(); err != nil {
-			return err
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "state",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
-func (s HostStateRole) Validate() error {
-	switch s {
-	case "balancer":
-		return nil
-	case "agent":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
-func (s HostStateState) Validate() error {
-	switch s {
-	case "live":
-		return nil
-	case "leaving":
-		return nil
-	case "removed":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
--- a/internal/watcher/client.go
+++ b/internal/watcher/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 
 	api "kingcupvalve.example/kingcupvalve/internal/api/platform"
@@ -17,6 +18,9 @@
 // size takes about 2.5 MB.
 const maxResponseBytes = 16 << 20
 
+// refusedHosts counts entries of the host list that can't be decoded. The others hold.
+var refusedHosts = metrics.GetOrCreateCounter("kingcupvalve_watcher_hosts_refused_total")
+
 // platformClient reads the platform through its published API.
 type platformClient struct {
 	api *api.Client
@@ -128,13 +132,12 @@
 			changes.from = 0 // the answer is the whole list
 		}
 		for _, h := range r.Hosts {
-			changes.entries = append(changes.entries, hostEntry{
-				spec: cataloger.HostSpec{
-					Name: h.Name, Role: string(h.Role), AvailabilityZone: h.AvailabilityZone, State: string(h.State),
-					ControlAddress: h.ControlAddress, TunnelAddress: h.TunnelAddress.Or(""),
-				},
-				version: uint64(max(h.Version, 0)),
-			})
+			spec, version, err := cataloger.DecodeHost(h)
+			if err != nil {
+				refusedHosts.Inc()
+				continue
+			}
+			changes.entries = append(changes.entries, hostEntry{spec: spec, version: uint64(version)})
 		}
 		return hostsResult{changes: changes}
 	case *api.ListHostsNotModified:
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -138,6 +140,44 @@
 	}
 }
 
+// TestOddHosts guards against an odd entry of the host list that hides the others: the
+// whole list could not be decoded, and processes stopped following it.
+func TestOddHosts(t *testing.T) {
+	good, err := cataloger.EncodeHost(cataloger.HostSpec{
+		Name: "a", Role: cataloger.RoleAgent, State: cataloger.HostLive, AvailabilityZone: "tb-a", ControlAddress: "127.0.0.1:1",
+	}, 3)
+	is.New(t).NoErr(err)
+	nested := strings.Repeat("[", 5000) + strings.Repeat("]", 5000)
+	for name, odd := range map[string]string{
+		"deeply nested":          nested,
+		"a nested field":         strings.Replace(string(good), `"tb-a"`, nested, 1),
+		"a version out of range": strings.Replace(string(good), `:3`, `:1e400`, 1),
+		"a negative version":     strings.Replace(string(good), `:3`, `:-3`, 1),
+		"a state without a name": strings.Replace(string(good), `"live"`, `"asleep"`, 1),
+		"a role that is a list":  strings.Replace(string(good), `"agent"`, `[]`, 1),
+		"a long name":            strings.Replace(string(good), `"a"`, `"`+strings.Repeat("x", 1<<20)+`"`, 1),
+		"no fields":              "{}",
+		"null":                   "null",
+		"a number":               "7",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "application/json")
+				_, _ = fmt.Fprintf(w, `{"version":5,"hosts":[%s,%s]}`, odd, good)
+			}))
+			t.Cleanup(server.Close)
+			client, err := newPlatformClient(server.URL, http.DefaultTransport)
+			is.NoErr(err)
+			r := client.readHosts(t.Context(), hostPosition{}, 0)
+			is.NoErr(r.err)
+			is.Equal(len(r.changes.entries), 1)
+			is.Equal(r.changes.entries[0].spec.Name, "a")
+			is.Equal(r.changes.entries[0].version, uint64(3))
+		})
+	}
+}
+
 // TestProcesses guards against faults that the simulated fleets cannot show,
 // because they have no sockets, no platform API and no goroutines.
 // TestRestoredHosts guards against changes of the host list that are not read because
