Learn departed targets also from peers that are behind

The started agent had read a platform that came back without targets; the peers that it asked had not read that yet and still listed them, so none was a departure.

Change: a process says how far its table is complete; a peer that is behind answers with its listed targets, too. A target that is listed there and missing at the later position keeps its open flows and gets no new ones, since it may have left long ago.

--- a/internal/follower/departures.go
+++ b/internal/follower/departures.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
 const (
@@ -24,10 +26,11 @@
 	unknowing int
 }
 
-// Departures returns the removed items whose last targets are known. It returns
-// false if the context ends first.
-func (f *Follower) Departures(ctx context.Context) (Batch, bool) {
-	return f.ask(ctx, request{departuresOnly: true, reply: make(chan Batch, 1)})
+// Departures returns the targets that a process whose table is complete up to a
+// position may lack, because they departed before it started. It returns false if the
+// context ends first.
+func (f *Follower) Departures(ctx context.Context, known router.Position) (Batch, bool) {
+	return f.ask(ctx, request{after: known, departuresOnly: true, reply: make(chan Batch, 1)})
 }
 
 // searchDepartures asks a random peer or seed for departed targets, and ends the
@@ -48,15 +51,16 @@
 		return
 	}
 	peer := peers[rand.IntN(len(peers))]
+	known := f.registrar.Position()
 	f.startFetch(ctx, result{peer: peer, isDepartures: true}, func(ctx context.Context) (Batch, error) {
-		return f.options.FetchDepartures(ctx, peer)
+		return f.options.FetchDepartures(ctx, peer, known)
 	})
 }
 
 // applyDepartures merges the departed targets that a peer knows. Those that a peer
 // learnt since its own start are used, too, but do not end the search.
 func (f *Follower) applyDepartures(r result, now time.Time) {
-	if f.registrar.MergeDepartures(r.batch.Changes) {
+	if f.registrar.MergeDepartures(r.batch.Changes, now) {
 		f.publish(now)
 		f.options.Logger.Info().Str("source", r.source).Int("changes", len(r.batch.Changes)).Msg("departed targets learnt from peer")
 	}
--- a/internal/follower/departures_test.go
+++ b/internal/follower/departures_test.go
@@ -25,7 +25,7 @@
 		var fetches atomic.Int64
 		runFollower(t, newFakePlatform(3), func(o *Options) {
 			o.Seeds = func() []netip.Addr { return []netip.Addr{netip.MustParseAddr("10.0.0.9")} }
-			o.FetchDepartures = func(context.Context, netip.Addr) (Batch, error) {
+			o.FetchDepartures = func(context.Context, netip.Addr, router.Position) (Batch, error) {
 				n := int(fetches.Add(1)) - 1
 				if n >= len(answers) {
 					return Batch{}, errDown
--- a/internal/follower/exchange.go
+++ b/internal/follower/exchange.go
@@ -29,10 +29,11 @@
 	return batch, merry.Prepend(err, "fetch table")
 }
 
-// FetchDepartures fetches the removed items whose last targets the process at an
-// address knows. Deadline and errors are those of FetchChanges.
-func FetchDepartures(ctx context.Context, m *messenger.Messenger, address netip.AddrPort) (Batch, error) {
-	batch, err := fetch(ctx, m, address, &wirepb.TableRequest{DeparturesOnly: true})
+// FetchDepartures fetches the targets that the process at an address knows and that
+// a table which is complete up to a position may lack. Deadline and errors are those
+// of FetchChanges.
+func FetchDepartures(ctx context.Context, m *messenger.Messenger, address netip.AddrPort, known router.Position) (Batch, error) {
+	batch, err := fetch(ctx, m, address, &wirepb.TableRequest{DeparturesOnly: true, AfterEpoch: known.Epoch, AfterRevision: known.Revision})
 	return batch, merry.Prepend(err, "fetch departures")
 }
 
@@ -96,10 +97,11 @@
 }
 
 func (f *Follower) answer(ctx context.Context, request *wirepb.TableRequest) (Batch, bool) {
+	after := router.Position{Epoch: request.GetAfterEpoch(), Revision: request.GetAfterRevision()}
 	if request.GetDeparturesOnly() {
-		return f.Departures(ctx)
+		return f.Departures(ctx, after)
 	}
-	return f.Changes(ctx, router.Position{Epoch: request.GetAfterEpoch(), Revision: request.GetAfterRevision()})
+	return f.Changes(ctx, after)
 }
 
 func sendBatch(stream *messenger.Stream, batch Batch) error {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -39,8 +39,9 @@
 	Source Source
 	// FetchChanges fetches the changes after a position from a peer.
 	FetchChanges func(ctx context.Context, peer netip.Addr, after router.Position) (Batch, error)
-	// FetchDepartures fetches the removed items whose last targets a peer knows.
-	FetchDepartures func(ctx context.Context, peer netip.Addr) (Batch, error)
+	// FetchDepartures fetches the targets that a peer knows and that a process whose
+	// table is complete up to a position may lack.
+	FetchDepartures func(ctx context.Context, peer netip.Addr, known router.Position) (Batch, error)
 	// Peers returns the processes that recently sent a beacon.
 	Peers func() []Peer
 	// Seeds returns processes to fetch a first table from, before the platform has
@@ -205,7 +206,7 @@
 func (f *Follower) buildBatch(r request) Batch {
 	b := Batch{Position: f.registrar.Position(), ConfirmedAt: f.confirmedTime(), KnowsDepartures: f.registrar.KnowsDepartures()}
 	if r.departuresOnly {
-		b.Changes = f.registrar.Departures()
+		b.Changes = f.registrar.Departures(r.after)
 	} else {
 		b.Changes, b.IsSnapshot = f.registrar.Changes(r.after)
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -93,7 +93,7 @@
 		options := Options{
 			Source: p.source(), Peers: func() []Peer { return nil }, IsPlatformReader: func(*router.Table) bool { return true },
 			FetchChanges:    func(context.Context, netip.Addr, router.Position) (Batch, error) { return Batch{}, errDown },
-			FetchDepartures: func(context.Context, netip.Addr) (Batch, error) { return Batch{}, errDown },
+			FetchDepartures: func(context.Context, netip.Addr, router.Position) (Batch, error) { return Batch{}, errDown },
 			Seeds:           func() []netip.Addr { return nil },
 			IsInUse:         func(uint32) bool { return false },
 			Deadline:        3 * time.Second, Logger: zerolog.Nop(),
--- a/internal/registrar/departure.go
+++ b/internal/registrar/departure.go
@@ -53,12 +53,16 @@
 	return !wasKnown
 }
 
-// Departures returns the removed items whose last targets are known, sorted by key.
-func (r *Registrar) Departures() []Change {
+// Departures returns the removed items whose last targets are known, sorted by key,
+// for a process whose table is complete up to a position. If the items here are
+// older, that process may lack targets that are still listed here; they are
+// returned, too.
+func (r *Registrar) Departures(known router.Position) []Change {
+	isBehind := r.position.Compare(known) < 0
 	var changes []Change
 	for _, key := range slices.Sorted(maps.Keys(r.records)) {
 		c := r.records[key].change
-		if c.Departure = r.records[key].departure(); c.Departure != nil {
+		if c.Departure = r.records[key].departure(); c.Departure != nil || isBehind && c.Target != nil {
 			changes = append(changes, c)
 		}
 	}
@@ -67,18 +71,21 @@
 
 // MergeDepartures adds the departures of a peer for items that are not listed here,
 // and reports whether any was new. It changes neither the state of an item nor the
-// position.
-func (r *Registrar) MergeDepartures(changes []Change) bool {
+// position. A target that the peer still lists, but that is missing here at a later
+// position, departed at an unknown time: it keeps its open flows and gets no new ones.
+func (r *Registrar) MergeDepartures(changes []Change, now time.Time) bool {
 	changed := false
 	for _, c := range changes {
-		if c.Departure == nil || !c.IsGone() {
+		d := c.Departure
+		if c.Target != nil && c.Compare(r.position) <= 0 {
+			d = &Departure{Target: *c.Target, RemovedAt: now.Add(-lapsedGracePeriod), UsedAt: now}
+		}
+		if d == nil {
 			continue
 		}
-		d := c.Departure
-		c.Departure = nil
 		known, isKnown := r.records[c.Key]
 		if !isKnown {
-			known = &record{change: c}
+			known = &record{change: Change{Key: c.Key, Position: c.Position, Stamp: c.Stamp}}
 			r.records[c.Key] = known
 		}
 		if known.change.IsGone() {
--- a/internal/registrar/restart_test.go
+++ b/internal/registrar/restart_test.go
@@ -139,3 +139,27 @@
 	fetch(started, peer, start)
 	is.Equal(states(started.BuildTable(start)), states(peer.BuildTable(start)))
 }
+
+// TestDeparturesOfOlderPeer guards against resets of open flows by a process that
+// started after the platform lost its entries, and is ahead of its peers: they still
+// list the targets.
+func TestDeparturesOfOlderPeer(t *testing.T) {
+	is := is.New(t)
+	peer, started := NewRegistrar(), NewRegistrar()
+	peer.Merge([]Change{config(1, 1), target("a", 1, 2), target("b", 2, 3)}, at(3), start)
+	started.MergeSnapshot([]Change{config(1, 1), target("b", 2, 3)}, at(9), start)
+	is.True(started.MergeDepartures(peer.Departures(started.Position()), start))
+	want := map[string]router.State{"a": router.Gone, "b": router.Serving}
+	is.Equal(states(started.BuildTable(start)), want)
+	is.Equal(states(started.BuildTable(start.Add(goneRetention-time.Second))), want)
+	t.Run("a peer at the same position sends departed targets only", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(len(peer.Departures(peer.Position())), 0)
+	})
+	t.Run("a target that a newer peer lists is left to the changes", func(t *testing.T) {
+		is := is.New(t)
+		older := NewRegistrar()
+		older.MergeSnapshot([]Change{config(1, 1)}, at(2), start)
+		is.True(!older.MergeDepartures([]Change{target("c", 3, 5)}, start))
+	})
+}
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -79,8 +79,8 @@
 	return follower.FetchChanges(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()), after)
 }
 
-func (r *Runner) fetchDepartures(ctx context.Context, peer netip.Addr) (follower.Batch, error) {
-	return follower.FetchDepartures(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()))
+func (r *Runner) fetchDepartures(ctx context.Context, peer netip.Addr, known router.Position) (follower.Batch, error) {
+	return follower.FetchDepartures(ctx, r.messenger, netip.AddrPortFrom(peer, r.settings.ControlAddress().Port()), known)
 }
 
 // isTargetInUse reports whether the agent of a target answers and says that the
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -68,7 +68,7 @@
 func (p *process) learnDepartures() {
 	for _, a := range p.world.agents {
 		if &a.process != p && a.isUp && a.table != nil {
-			p.registrar.MergeDepartures(a.registrar.Departures())
+			p.registrar.MergeDepartures(a.registrar.Departures(p.registrar.Position()), p.world.now)
 			break
 		}
 	}
