Suspect a target that resets its requests

Such a target is always idle, so it gets a free slot's share of all new flows; its agent compared times of answers only, and a reset has none. Ruled out: resets of the system's own and lost flows, since the agent placed the flow on a table that was 1.4 s old and the target itself sent the reset.

Change: an unanswered request that its target resets counts in the window of the assessor; the second one makes the target suspect, and after a suspicion the first one.

--- a/internal/assessor/assessor.go
+++ b/internal/assessor/assessor.go
@@ -2,8 +2,8 @@
 // target by its response times, because the payload of packet flows can't be
 // read.
 //
-// A target that fails requests answers much faster than a healthy one, and since
-// it is always idle it would attract every new flow. A target that is overloaded
+// A target that fails requests answers much faster than a healthy one or resets
+// their flows, and since it is always idle it would attract every new flow. A target that is overloaded
 // or has an internal fault answers much slower than before. Response times are
 // compared with the target's own baseline for the same route, so that targets of
 // different speeds are not compared with each other. A suspicion expires after a
@@ -35,6 +35,10 @@
 	// one of a million windows.
 	fastThreshold = 4
 	slowThreshold = 8
+	// resetThreshold is the number of requests in the window that the target reset. A
+	// healthy one resets none. A target that was suspect a short time ago and resets
+	// the next request has not recovered.
+	resetThreshold = 2
 	// warmupAnswers is the number of answers that a route's baseline needs before
 	// any answer counts as an outlier.
 	warmupAnswers = 20
@@ -62,6 +66,7 @@
 	normal verdict = iota
 	fast
 	slow
+	reset
 )
 
 // Assessor holds the baselines and recent answers of one target. It is not safe
@@ -97,13 +102,31 @@
 	if v == normal {
 		b.update(logarithm, isQueued)
 	}
-	a.recent[a.next%windowSize] = v
-	a.next++
+	a.record(v)
 	if !a.IsSuspect(now) && (a.count(fast) >= fastThreshold || a.count(slow) >= slowThreshold) {
 		a.startSuspicion(now)
 	}
 }
 
+// ObserveReset records that the target reset a flow with an unanswered request. Such
+// a target is always idle and would attract every new flow.
+func (a *Assessor) ObserveReset(now time.Time) {
+	a.record(reset)
+	if !a.IsSuspect(now) && (a.count(reset) >= resetThreshold || a.wasSuspect(now)) {
+		a.startSuspicion(now)
+	}
+}
+
+// wasSuspect reports whether a suspicion ended less than suspicionReset ago.
+func (a *Assessor) wasSuspect(now time.Time) bool {
+	return a.suspicion > 0 && now.Sub(a.suspectUntil) <= suspicionReset
+}
+
+func (a *Assessor) record(v verdict) {
+	a.recent[a.next%windowSize] = v
+	a.next++
+}
+
 // ObserveLostFlow records that the target returned a packet of a flow that it
 // held. The target has restarted after a crash and may crash again soon.
 func (a *Assessor) ObserveLostFlow(now time.Time) {
@@ -144,10 +167,10 @@
 }
 
 func (a *Assessor) startSuspicion(now time.Time) {
-	if a.suspicion == 0 || now.Sub(a.suspectUntil) > suspicionReset {
-		a.suspicion = minSuspicion
-	} else {
+	if a.wasSuspect(now) {
 		a.suspicion = min(2*a.suspicion, maxSuspicion)
+	} else {
+		a.suspicion = minSuspicion
 	}
 	a.suspectUntil = now.Add(a.suspicion)
 	a.recent = [windowSize]verdict{}
--- a/internal/assessor/assessor_test.go
+++ b/internal/assessor/assessor_test.go
@@ -105,4 +105,31 @@
 		_, suspect := newTarget(1).answersUntilSuspect(warmupAnswers, constant(time.Millisecond))
 		is.New(t).True(!suspect)
 	})
+	// Guards against a target that resets its requests: it is always idle, and
+	// answers nothing whose time could be compared.
+	t.Run("a target that resets requests becomes suspect at the second one, and at the next one later", func(t *testing.T) {
+		is := is.New(t)
+		a := newTarget(1)
+		a.ObserveReset(a.now)
+		is.True(!a.IsSuspect(a.now))
+		a.answer(13 * time.Millisecond)
+		a.ObserveReset(a.now)
+		is.True(a.IsSuspect(a.now))
+		for _, hold := range []time.Duration{2 * time.Second, 4 * time.Second} {
+			is.True(a.IsSuspect(a.now.Add(hold - time.Millisecond)))
+			a.now = a.now.Add(hold)
+			is.True(!a.IsSuspect(a.now))
+			a.ObserveReset(a.now)
+			is.True(a.IsSuspect(a.now))
+		}
+	})
+	t.Run("a reset long ago does not count", func(t *testing.T) {
+		a := newTarget(1)
+		a.ObserveReset(a.now)
+		for range windowSize {
+			a.answer(13 * time.Millisecond)
+		}
+		a.ObserveReset(a.now)
+		is.New(t).True(!a.IsSuspect(a.now))
+	})
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -230,6 +230,9 @@
 		t.finishRequest(f, recorder.OutcomeGood, now)
 	}
 	if p.RST {
+		if f.isPending && !f.hasEnded {
+			t.assessor.ObserveReset(now)
+		}
 		t.finishRequest(f, recorder.OutcomeBroken, now)
 		t.removeFlow(key, f, now)
 		return netip.Addr{}, false
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -114,6 +114,33 @@
 		tr.ObserveReturnedPacket(key, data(101), start)
 		is.True(tr.Load(start).IsSuspect)
 	})
+	// Guards against targets that reset requests without being noticed, and against
+	// suspicion of a target that resets flows which have no request or have ended.
+	for _, c := range []struct {
+		name    string
+		packets []framer.Packet
+		hasFIN  bool
+		want    bool
+	}{
+		{"with a request", []framer.Packet{data(101)}, false, true},
+		{"without a request", nil, false, false},
+		{"after its end", []framer.Packet{data(101)}, true, false},
+	} {
+		t.Run("a target that resets flows "+c.name+" is suspect or not", func(t *testing.T) {
+			tr := NewTracker(Options{})
+			for range 5 {
+				openFlow(tr, start)
+				for _, p := range c.packets {
+					tr.ObserveCallerPacket(key, p, start)
+				}
+				if c.hasFIN {
+					tr.ObserveTargetPacket(key, framer.Packet{FIN: true}, start)
+				}
+				tr.ObserveTargetPacket(key, framer.Packet{RST: true}, start)
+			}
+			is.New(t).Equal(tr.Load(start).IsSuspect, c.want)
+		})
+	}
 	t.Run("the number of flows is bounded", func(t *testing.T) {
 		is := is.New(t)
 		tr := NewTracker(Options{MaxFlows: 10})
--- a/standin/simulator/fault.go
+++ b/standin/simulator/fault.go
@@ -45,6 +45,11 @@
 			a.target.slow = factor
 			w.after(length, func() { a.target.slow = 1 })
 		}
+	case faultTargetReset:
+		for _, a := range pickOf(w, w.agents, share) {
+			a.target.resetShare = factor
+			w.after(length, func() { a.target.resetShare = 0 })
+		}
 	case faultTargetReplace:
 		for _, a := range pickOf(w, w.agents, share) {
 			w.replaceTarget(a.target)
@@ -90,7 +95,7 @@
 func (w *world) replaceTarget(old *target) {
 	w.publishTarget(old, router.Draining)
 	fresh := *old
-	fresh.slow = 1
+	fresh.slow, fresh.resetShare = 1, 0
 	w.addTarget(&fresh, w.coldTime)
 	fresh.agent.start()
 	w.after(drainTime, func() {
--- a/standin/simulator/load.go
+++ b/standin/simulator/load.go
@@ -122,12 +122,13 @@
 	faultAgentKill     = "agent_kill"     // agents
 	faultTargetCrash   = "target_crash"   // targets, which start again as new ones
 	faultTargetSlow    = "target_slow"    // targets, by a factor
+	faultTargetReset   = "target_reset"   // targets, which reset a share of their requests
 	faultTargetReplace = "target_replace" // targets drain, and others start
 	faultBurst         = "burst"          // the arrival rate, by a factor
 )
 
 var faultKinds = []string{
-	faultPowerLoss, faultProcessKill, faultBalancerKill, faultAgentKill, faultTargetCrash, faultTargetSlow, faultTargetReplace, faultBurst,
+	faultPowerLoss, faultProcessKill, faultBalancerKill, faultAgentKill, faultTargetCrash, faultTargetSlow, faultTargetReset, faultTargetReplace, faultBurst,
 }
 
 // Fault is a fault or planned change during a run.
--- a/standin/simulator/simulator_test.go
+++ b/standin/simulator/simulator_test.go
@@ -160,3 +160,19 @@
 		})
 	}
 }
+
+// TestResettingTarget guards against a target that resets its requests and gets more
+// of them than any other, because it is always idle. A request in a hundred may be
+// lost before the agent knows.
+func TestResettingTarget(t *testing.T) {
+	is := is.New(t)
+	l := findLoad(t, "resetting target")
+	lost, all := 0, 0
+	for seed := range uint64(seeds) {
+		for _, w := range Play(l, Policy(), seed+1).windows {
+			all, lost = all+w.requests, lost+w.failed
+		}
+	}
+	t.Logf("%d of %d requests lost", lost, all)
+	is.True(lost*100 <= all)
+}
--- a/standin/simulator/target.go
+++ b/standin/simulator/target.go
@@ -29,7 +29,9 @@
 	queue   int
 	speed   float64
 	slow    float64 // factor of a fault, 1 without one
-	isUp    bool
+	// resetShare is the share of requests that the target resets by a fault.
+	resetShare float64
+	isUp       bool
 	// incarnation counts the starts. What belongs to an earlier one is lost.
 	incarnation int
 	coldUntil   time.Time
@@ -71,6 +73,9 @@
 	case p.FIN:
 		f.hasEnded = true
 		t.agent.sendToCaller(p.flow, framer.Packet{ACK: true, FIN: true}, func() {})
+	case p.request != nil && t.resetShare > 0 && t.world.random.Float64() < t.resetShare:
+		delete(t.flows, key)
+		t.agent.sendToCaller(p.flow, framer.Packet{RST: true}, p.flow.reset)
 	case p.request != nil:
 		t.agent.sendToCaller(p.flow, framer.Packet{ACK: true}, func() { p.flow.acknowledge(p.request) })
 		if !f.seen[p.request.id] {
