Ask a platform without a configuration less often

Cause: at the start of a fleet every process reads the platform, which has no configuration yet, and repeats the call after 100, 200 and 400 ms.

Change: an answer without a configuration is an error of its own. The process asks again after 0.4 to 1.2 s; a seed that has the configuration hands it over before. Such a platform no longer counts as unreachable in the status.

Result: 6 to 20 calls in 8 s in the test, 1.5 s after publication at most; the error is new, so the test has no run before.

--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -23,6 +23,8 @@
 	isDown      atomic.Bool
 	isHanging   atomic.Bool
 	isCompacted atomic.Bool
+	// isEmpty is set while there is no configuration.
+	isEmpty atomic.Bool
 	// epoch and lost are the number of returns from an older copy and the revisions
 	// that the last one took back.
 	epoch atomic.Uint64
@@ -58,6 +60,9 @@
 			if p.isDown.Load() {
 				return Batch{}, errDown
 			}
+			if p.isEmpty.Load() {
+				return Batch{}, ErrNoConfig
+			}
 			return p.batch(), nil
 		},
 		Watch: func(ctx context.Context, after uint64, wait time.Duration) (Batch, error) {
@@ -138,6 +143,21 @@
 			is.Equal(f.Table().Version(), uint64(2))
 		})
 	})
+	// Guards against a new fleet that spends the platform's calls, which are shared, on
+	// asking for a configuration that is not there yet: 4 calls of each process in 0.7 s.
+	t.Run("a platform without a configuration is asked about once a second", func(t *testing.T) {
+		p := newFakePlatform(1)
+		p.isEmpty.Store(true)
+		runFollower(t, p, nil, func(is *is.I, f *Follower) {
+			time.Sleep(8 * time.Second)
+			is.True(p.calls.Load() >= 6)
+			is.True(p.calls.Load() <= 20)
+			is.True(!f.IsPlatformUnreachable())
+			p.isEmpty.Store(false)
+			time.Sleep(1500 * time.Millisecond)
+			is.Equal(f.Table().Version(), uint64(1))
+		})
+	})
 	t.Run("a silent connection delays a change by at most 2 s", func(t *testing.T) {
 		p := newFakePlatform(1)
 		runFollower(t, p, nil, func(is *is.I, f *Follower) {
--- a/internal/follower/log.go
+++ b/internal/follower/log.go
@@ -11,7 +11,7 @@
 // recordPlatformAnswer records whether a read of the platform failed, and logs
 // when the platform becomes unreachable or reachable again.
 func (f *Follower) recordPlatformAnswer(err error, now time.Time) {
-	isFailed := err != nil && !errors.Is(err, ErrCompacted)
+	isFailed := err != nil && !errors.Is(err, ErrCompacted) && !errors.Is(err, ErrNoConfig)
 	f.lastReadFailed.Store(isFailed)
 	if isFailed {
 		readsFailed.Inc()
--- a/internal/follower/read.go
+++ b/internal/follower/read.go
@@ -40,8 +40,12 @@
 		switch {
 		case needsSnapshot:
 			wait = 0
+		case errors.Is(err, ErrNoConfig):
+			// Every process of a new fleet waits for the first configuration, and one that
+			// has read it hands it to the others.
+			wait = jitter(maxRetryDelay)
 		case err != nil:
-			wait = time.Duration(float64(retryDelay) * (0.5 + rand.Float64()))
+			wait = jitter(retryDelay)
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		default:
 			retryDelay = minRetryDelay
@@ -62,6 +66,9 @@
 	}
 }
 
+// jitter returns a random time from half of d to one and a half of it.
+func jitter(d time.Duration) time.Duration { return time.Duration(float64(d) * (0.5 + rand.Float64())) }
+
 // delayFirstRead waits a random part of Options.StartSpread, so that the first
 // reads are spread when all processes of a fleet start at the same time. It
 // returns early when a peer has sent a table.
--- a/internal/follower/source.go
+++ b/internal/follower/source.go
@@ -15,6 +15,10 @@
 // revision, so that all items have to be read.
 var ErrCompacted = merry.New("changes are no longer available")
 
+// ErrNoConfig reports that the platform answers, but that operators have not published
+// a configuration yet.
+var ErrNoConfig = merry.New("no configuration is published")
+
 // Batch is a set of items and the position up to which it is complete.
 type Batch struct {
 	Changes []registrar.Change
@@ -32,7 +36,7 @@
 
 // Source reads the configuration and the targets from the platform.
 type Source struct {
-	// Read returns all items.
+	// Read returns all items. It fails with ErrNoConfig if there is no configuration.
 	Read func(ctx context.Context) (Batch, error)
 	// Watch waits for changes after a revision of the platform's current epoch and
 	// returns them as soon as there are any, or an empty batch after the wait. It
