Send smaller beacons, and all that the budget allows

Cause: a beacon carried the name and the incarnation of its process, which nothing reads, 32 of 68 bytes; with its answer and headers 140 a second are 27 KB/s of a budget of 23. Each tick dropped the rest of the division, so that of 140 beacons a second as few as 120 were sent, and load reports were older than stated.

The rest of the time counts for the next tick.

Result: at most 51 bytes with large numbers, 22.1 KB/s with answers and headers (test against the budget). TestSignaller with 136 agents and ticks of 49, 50 and 57 ms failed before and passes.

--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -23,7 +23,7 @@
 	// only delays a fetch.
 	version, position := r.follower.Table().Version(), r.follower.Position()
 	b := &wirepb.Beacon{
-		Process: r.settings.Process(), Incarnation: r.incarnation, Epoch: position.Epoch, Revision: position.Revision, ConfigVersion: version,
+		Epoch: position.Epoch, Revision: position.Revision, ConfigVersion: version,
 		ConfirmedAgeMs: uint32(max(0, r.follower.TableAge(now).Milliseconds())), Leaving: r.isStopping.Load(),
 	}
 	if r.deliverer == nil {
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -52,7 +52,7 @@
 		s.detector.RecordReceived(beacon.GetTarget(), now)
 	}
 	peer := Peer{
-		Address: from, Process: beacon.GetProcess(), Incarnation: beacon.GetIncarnation(), Target: beacon.GetTarget(),
+		Address: from, Target: beacon.GetTarget(),
 		Position: router.Position{Epoch: beacon.GetEpoch(), Revision: beacon.GetRevision()}, Version: beacon.GetConfigVersion(),
 		ConfirmedAt: now.Add(-time.Duration(beacon.GetConfirmedAgeMs()) * time.Millisecond),
 		Running:     int(beacon.GetRunning()), Slots: int(beacon.GetSlots()), Flows: int(beacon.GetFlows()), IsLeaving: beacon.GetLeaving(),
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -42,7 +42,7 @@
 	// longer if there are more agents than maxBeaconsPerSecond allows.
 	beaconInterval = 250 * time.Millisecond
 	// maxBeaconsPerSecond keeps a process near its budget of 23 KB/s for control
-	// traffic: a beacon and its answer take up to 192 bytes with their headers.
+	// traffic: a beacon and its answer take up to 158 bytes with their headers.
 	maxBeaconsPerSecond = 140
 	// unansweredAfter, probeInterval and probeLimit mark an agent as down 550 ms
 	// after the first beacon that it does not answer.
@@ -77,10 +77,8 @@
 
 // Peer is the content of the last beacon of a process.
 type Peer struct {
-	Address     netip.Addr
-	Process     string
-	Incarnation uint64
-	Target      uint32
+	Address netip.Addr
+	Target  uint32
 	// Position is that of the routing table, and Version that of its configuration.
 	router.Position
 	Version     uint64
@@ -211,11 +209,15 @@
 		return
 	}
 	interval := max(beaconInterval, time.Duration(len(s.order))*time.Second/maxBeaconsPerSecond)
-	due := int(min(now.Sub(s.lastSent), interval) * time.Duration(len(s.order)) / interval)
+	elapsed := min(now.Sub(s.lastSent), interval)
+	due := int(elapsed * time.Duration(len(s.order)) / interval)
 	if due == 0 {
 		return
 	}
-	s.lastSent = now
+	// The rest of the time counts for the next beacons. Ticks come at any moment, and
+	// dropping it would cost one beacon of seven.
+	rest := elapsed - time.Duration(due)*interval/time.Duration(len(s.order))
+	s.lastSent = now.Add(-rest)
 	beacon := s.encodeBeacon(now, true)
 	for range due {
 		s.cursor = (s.cursor + 1) % len(s.order)
--- a/internal/signaller/signaller_test.go
+++ b/internal/signaller/signaller_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	s, err := NewSignaller(t.Context(), Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Logger: zerolog.Nop(), HandleHint: hint,
-		BuildBeacon: func(time.Time) *wirepb.Beacon { return &wirepb.Beacon{Process: "here"} },
+		BuildBeacon: func(time.Time) *wirepb.Beacon { return &wirepb.Beacon{Revision: 1} },
 	})
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = s.Close() })
@@ -89,6 +89,45 @@
 		sent := (s.cursor - start + len(agents)) % len(agents)
 		is.True(sent > 0 && sent <= 5*maxBeaconsPerSecond)
 	})
+	// Guards against load reports and liveness that are older than the budget allows:
+	// ticks came a little early or late, and the beacons of the rest were dropped.
+	t.Run("all beacons that the budget allows are sent, whatever the ticks", func(t *testing.T) {
+		for _, tick := range []time.Duration{49 * time.Millisecond, 50 * time.Millisecond, 57 * time.Millisecond} {
+			is := is.New(t)
+			s := newSignaller(t, nil)
+			agents := map[uint32]netip.Addr{}
+			for n := range uint32(136) {
+				agents[n+1] = unusedAddress
+			}
+			s.SetAgents(agents)
+			now := time.Now()
+			s.Tick(now)
+			const length = 10 * time.Second
+			sent := 0
+			for end := now.Add(length); now.Before(end); {
+				before := s.cursor
+				now = now.Add(tick)
+				s.Tick(now)
+				sent += (s.cursor - before + len(agents)) % len(agents)
+			}
+			want := maxBeaconsPerSecond * int(length/time.Second)
+			is.True(sent >= want-10)
+			is.True(sent <= want+10)
+		}
+	})
+	// Guards against control traffic above the budget of a process. Headers are those
+	// of IPv4 and UDP, and each beacon is answered.
+	t.Run("beacons stay within 23 KB/s", func(t *testing.T) {
+		const headers, budget = 28, 23_000
+		b, err := proto.Marshal(beacon(&wirepb.Beacon{
+			Target: ^uint32(0), AnswerWanted: true, Revision: 1 << 40, ConfirmedAgeMs: 100_000, Running: 1000, Slots: 1000, Flows: 65_536,
+			Leaving: true, Silent: true, Suspect: true, ServiceTimeUs: 10_000_000, Epoch: 1000, ConfigVersion: 1 << 30,
+		}))
+		is := is.New(t)
+		is.NoErr(err)
+		t.Logf("%d bytes", len(b))
+		is.True(2*(len(b)+headers)*maxBeaconsPerSecond <= budget)
+	})
 	t.Run("a received hint is passed to the handler", func(t *testing.T) {
 		is := is.New(t)
 		var got []uint64
