--- a/internal/follower/departures_test.go
+++ b/internal/follower/departures_test.go
@@ -54,7 +54,7 @@
 		})
 	})
 	t.Run("a peer that has just started itself does not end the search", func(t *testing.T) {
-		run(t, []bool{false, true}, func(is *is.I, f *Follower, fetches *atomic.Int64) {
+		run(t, []bool{false, true}, func(is *is.I, f *Follower, _ *atomic.Int64) {
 			time.Sleep(time.Second)
 			_, _, isKnown := f.Table().FindTargetAt(lapsed.Address)
 			is.True(isKnown)
