Let the store of the model of odd writers come back from older copies

Cause: TestOddWriters mixed lists and watches, but not returns of the store.

Change: an action that loses up to five revisions and begins an epoch.

--- a/internal/registrar/odd_test.go
+++ b/internal/registrar/odd_test.go
@@ -14,9 +14,9 @@
 )
 
 // TestOddWriters guards against odd entries of other writers that change what the
-// other entries say, in changes and in snapshots. A table must be that of a store
-// without the keys of other writers, in which odd entries under the key of a target
-// are removals.
+// other entries say, in changes and in snapshots, also after the store came back from
+// an older copy. A table must be that of a store without the keys of other writers, in
+// which odd entries under the key of a target are removals.
 func TestOddWriters(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all, clean := &store{}, &store{}
@@ -31,13 +31,14 @@
 		}
 		write(config(1, 0), true)
 		read, reference := NewRegistrar(), NewRegistrar()
+		var epoch uint64
 		merge := func(r *Registrar, s *store, isSnapshot bool) {
-			if isSnapshot {
-				r.MergeSnapshot(slices.Collect(maps.Values(s.itemsAt(all.revision))), at(all.revision), now)
+			position, known := router.Position{Epoch: epoch, Revision: all.revision}, r.Position()
+			if isSnapshot || known.Epoch < epoch {
+				r.MergeSnapshot(withEpoch(slices.Collect(maps.Values(s.itemsAt(all.revision))), epoch), position, now)
 				return
 			}
-			position := r.Position()
-			r.Merge(slices.DeleteFunc(slices.Clone(s.history), func(c Change) bool { return c.Compare(position) <= 0 }), at(all.revision), now)
+			r.Merge(slices.DeleteFunc(withEpoch(s.history, epoch), func(c Change) bool { return c.Compare(known) <= 0 }), position, now)
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"write a target": func(t *rapid.T) {
@@ -64,6 +65,13 @@
 				merge(read, all, isSnapshot)
 				merge(reference, clean, isSnapshot)
 			},
+			"return from an older copy": func(t *rapid.T) {
+				epoch++
+				all.revision -= uint64(rapid.IntRange(0, min(5, int(all.revision)-1)).Draw(t, "lost"))
+				for _, s := range []*store{all, clean} {
+					s.history = slices.DeleteFunc(s.history, func(c Change) bool { return c.Revision > all.revision })
+				}
+			},
 			"pass time": func(t *rapid.T) {
 				before := now
 				now = now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
@@ -85,6 +93,20 @@
 	})
 }
 
+// withEpoch returns changes as a read in an epoch returns them.
+func withEpoch(changes []Change, epoch uint64) []Change {
+	read := slices.Clone(changes)
+	for i, c := range read {
+		read[i].Epoch = epoch
+		if c.Target != nil {
+			t := *c.Target
+			t.Epoch = epoch
+			read[i].Target = &t
+		}
+	}
+	return read
+}
+
 // TestRepeatedOddEntry guards against a writer that replaces its odd entry at each
 // heartbeat and thereby makes every process rebuild its table.
 func TestRepeatedOddEntry(t *testing.T) {
