Search for open flows past hops that do not answer

Cause: a balancer without a hint sends a packet through the flow's targets one after the other. A hop that does not answer ends this search, and each copy of the packet takes the same way, so that no target behind the hop gets any of them. It takes 550 ms until beacons show a stopped agent (1.5 s with 136 agents), and 5.6 s until the entry of a crashed target is gone; its agent lives.

Change: the balancer keeps the first packet of a flow that it searches for. The agent of the target that holds the flow reports it, as does an agent that ends the search with a reset. Without a report after 100 ms the packet goes out again on up to 16 branches, each through a part of the order, then on 256 and so on, until it goes to every target directly. No hop hides another one then. A branch can't prove that no target holds a flow; its progress says so and no agent resets a flow at its end. Searches, their memory (4,096 packets) and the bytes of branches (1.6 MB/s) are bounded. Ranks have 30 bits instead of 31, since the progress of a packet needs the bit. A hint is confirmed in the same way once packets are repeated: it may name a target that does not answer and does not hold the flow. An agent reports a flow when a packet arrives, not only when its target sends one, and again after 50 ms.

--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -30,14 +30,15 @@
 )
 
 var (
-	delivered  = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
-	answered   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
-	returned   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
-	passedOn   = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
-	malformed  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
-	unrouted   = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
-	resetsSent = metrics.GetOrCreateCounter("kingcupvalve_deliverer_resets_total")
-	exhausted  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
+	delivered     = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
+	answered      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
+	returned      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
+	passedOn      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
+	malformed     = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
+	unrouted      = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
+	resetsSent    = metrics.GetOrCreateCounter("kingcupvalve_deliverer_resets_total")
+	branchesEnded = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="branch ended"}`)
+	exhausted     = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
 )
 
 // Counters returns the packet counters of the process by name.
@@ -45,7 +46,7 @@
 	return map[string]uint64{
 		"packets_delivered": delivered.Get(), "packets_answered": answered.Get(), "packets_returned": returned.Get(),
 		"packets_passed_on": passedOn.Get(), "drop_malformed": malformed.Get(), "drop_unrouted": unrouted.Get(),
-		"drop_no_target_left": exhausted.Get(), "resets_sent": resetsSent.Get(),
+		"drop_no_target_left": exhausted.Get(), "drop_branch_ended": branchesEnded.Get(), "resets_sent": resetsSent.Get(),
 	}
 }
 
@@ -67,6 +68,9 @@
 	TableAge func(now time.Time) time.Duration
 	// SendHint tells a balancer that the agent's target holds a flow.
 	SendHint func(balancer netip.Addr, flow uint64, target uint32)
+	// SendSearchEnd tells a balancer that no target holds a flow. The target is the
+	// agent's own one.
+	SendSearchEnd func(balancer netip.Addr, flow uint64, target uint32)
 	// Record counts the outcome of a request to a service.
 	Record func(service string, o recorder.Outcome, now time.Time)
 	Logger zerolog.Logger
@@ -140,7 +144,9 @@
 	if p.SYN {
 		d.logAcceptedFlow(table, p, now)
 	}
-	d.options.Tracker.ObserveCallerPacket(p.Key(), p, now)
+	if via, ok := d.options.Tracker.ObserveCallerPacket(p.Key(), p, now); ok {
+		d.sendHint(via, p.Key())
+	}
 	d.options.Codec.Mark(datagram, framer.Mark{Progress: p.Mark.Progress})
 	to := batcher.NewSockaddr(d.options.Backend)
 	writer.Add(datagram, &to)
@@ -169,15 +175,20 @@
 	}
 	key := p.ReverseKey()
 	if via, ok := d.options.Tracker.ObserveTargetPacket(key, p, now); ok {
-		if number, _, ok := d.placer.FindOwnTarget(d.options.Table()); ok {
-			d.options.SendHint(via, key, number)
-		}
+		d.sendHint(via, key)
 	}
 	to := batcher.NewSockaddr(netip.AddrPortFrom(p.Destination.Addr(), d.options.Address.Port()))
 	writer.Add(datagram, &to)
 	answered.Inc()
 }
 
+// sendHint tells a balancer that the agent's target holds a flow.
+func (d *Deliverer) sendHint(via netip.Addr, flow uint64) {
+	if number, _, ok := d.placer.FindOwnTarget(d.options.Table()); ok {
+		d.options.SendHint(via, flow, number)
+	}
+}
+
 // continueSearch sends a packet that the agent's target did not accept to the next
 // target of its search.
 func (d *Deliverer) continueSearch(datagram []byte, p framer.Packet, writer *batcher.Writer, now time.Time) {
@@ -208,6 +219,10 @@
 // endSearch drops a packet for which no target is left, and resets its flow if
 // the decision says so.
 func (d *Deliverer) endSearch(decision placer.Decision, table *router.Table, p framer.Packet, datagram []byte, writer *batcher.Writer, now time.Time) {
+	if p.Mark.IsBranch() {
+		branchesEnded.Inc()
+		return
+	}
 	exhausted.Inc()
 	needsReset := decision.Action == placer.Reset
 	d.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.SYN).
@@ -220,6 +235,9 @@
 		return
 	}
 	d.options.Record(d.options.Service, recorder.OutcomeBroken, now)
+	if number, _, ok := d.placer.FindOwnTarget(table); ok && p.Mark.Via.IsValid() {
+		d.options.SendSearchEnd(p.Mark.Via, p.Key(), number)
+	}
 	reset := d.options.Codec.EncodeReset(datagram[:0], p)
 	to := batcher.NewSockaddr(netip.AddrPortFrom(p.Source.Addr(), d.options.Address.Port()))
 	writer.Add(reset, &to)
--- a/internal/explainer/conclusion.go
+++ b/internal/explainer/conclusion.go
@@ -50,6 +50,8 @@
 		return describe("the flow was reset by "+reset.Process, f.causeOfReset(), "no target held it any more")
 	case counts[messageFlowPlaced] > 1 && f.any() == "":
 		return "the flow was placed more than once, last by " + placed.Process + ": earlier targets did not answer its opening packets", true
+	case counts[messageSearchUnanswered] > 0 && f.any() == "":
+		return "a balancer searched for the flow's target, and an agent or target that the search visits did not answer", true
 	case counts[messageFlowPlaced] > 0:
 		return describe("the flow was placed by "+placed.Process, f.any(), "what happened then lies in the caller, the target or the network")
 	case counts[messageNoTargetLeft]+counts[messageNoTarget] > 0:
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -49,6 +49,7 @@
 	messageFlowReset        = "flow reset"
 	messageNoTarget         = "no target for packet"
 	messageNoTargetLeft     = "no target left for packet"
+	messageSearchUnanswered = "search for flow was not answered"
 	messageTargetChanged    = "target changed"
 	messageProcessStarts    = "process starts"
 	messageProcessLeaves    = "process leaves"
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -49,6 +49,7 @@
 			line(900, "b", "process starts", ""), "b started again at that time"},
 		{"a flow placed twice", own(1, "a", "flow placed", "") + "\n" + own(200, "c", "flow placed", ""), "did not answer its opening packets"},
 		{"a flow without a route", own(1, "b", "flow reset", `,"reason":"no route"`), "reset by b: no route"},
+		{"a flow that was searched for", own(1, "a", "flow placed", "") + "\n" + own(900, "b", "search for flow was not answered", `,"branches":7`), "did not answer"},
 		{"a flow that no target held", own(1, "a", "no target left for packet", `,"reset":true`), "no target held it"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/ansel1/merry/v2"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"kingcupvalve.example/kingcupvalve/internal/batcher"
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
@@ -25,6 +27,7 @@
 	"kingcupvalve.example/kingcupvalve/internal/placer"
 	"kingcupvalve.example/kingcupvalve/internal/recorder"
 	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/searcher"
 )
 
 var (
@@ -39,10 +42,12 @@
 
 // Counters returns the packet counters of the process by name.
 func Counters() map[string]uint64 {
-	return map[string]uint64{
+	counters := map[string]uint64{
 		"packets_forwarded": forwarded.Get(), "flows_opened": opened.Get(), "drop_malformed": malformed.Get(),
 		"drop_unrouted": unrouted.Get(), "drop_untargeted": untargeted.Get(), "packets_misdirected": misdirected.Get(), "resets_sent": resetsSent.Get(),
 	}
+	maps.Copy(counters, searcher.Counters())
+	return counters
 }
 
 // Options configures a Forwarder.
@@ -70,6 +75,9 @@
 	// lastReceived is the time of the last received batch, in ns since the Unix
 	// epoch.
 	lastReceived atomic.Int64
+	searcher     *searcher.Searcher[[]byte]
+	// searchStarted wakes the goroutine that continues searches.
+	searchStarted chan struct{}
 	// resets owns the buffers of the resets in the current batch until they are
 	// sent.
 	resets [][]byte
@@ -85,7 +93,9 @@
 	if err != nil {
 		return nil, errors.Join(merry.Prepend(err, "start forwarder"), conn.Close())
 	}
-	return &Forwarder{options: options, conn: conn, placer: balancer}, nil
+	f := &Forwarder{options: options, conn: conn, placer: balancer, searchStarted: make(chan struct{}, 1)}
+	f.searcher = searcher.NewSearcher[[]byte](searcher.Options{Accept: options.Chooser.AcceptOpenFlow, HandleUnanswered: f.logUnanswered})
+	return f, nil
 }
 
 // Stop ends Run after the packets that have arrived are forwarded.
@@ -95,7 +105,14 @@
 func (f *Forwarder) Close() error { return f.conn.Close() }
 
 // AddHint caches which target holds a flow. It is safe for concurrent use.
-func (f *Forwarder) AddHint(flow uint64, target uint32) { f.placer.AddHint(flow, target) }
+func (f *Forwarder) AddHint(flow uint64, target uint32) {
+	f.placer.AddHint(flow, target)
+	f.searcher.Finish(flow, searcher.Found)
+}
+
+// EndSearch ends the search for a flow that no target holds. It is safe for
+// concurrent use.
+func (f *Forwarder) EndSearch(flow uint64) { f.searcher.Finish(flow, searcher.Unheld) }
 
 // TimeSinceLastPacket returns the time since the last packet from a caller
 // arrived. It is safe for concurrent use.
@@ -105,10 +122,20 @@
 
 // Run forwards packets until Stop or Close is called.
 func (f *Forwarder) Run() error {
-	return f.conn.Serve(f.conn, f.options.Logger, func() {
-		f.lastReceived.Store(time.Now().UnixNano())
-		f.resets = f.resets[:0]
-	}, f.forward)
+	done := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(done)
+		return f.conn.Serve(f.conn, f.options.Logger, func() {
+			f.lastReceived.Store(time.Now().UnixNano())
+			f.resets = f.resets[:0]
+		}, f.forward)
+	})
+	group.Go(func() error {
+		f.continueSearches(done)
+		return nil
+	})
+	return group.Wait()
 }
 
 func (f *Forwarder) forward(datagram []byte, writer *batcher.Writer, now time.Time) {
@@ -126,7 +153,8 @@
 		}
 		return
 	}
-	hop, ok := f.findHop(table, route, p)
+	placement, ok := f.findHop(table, route, p)
+	hop := placement.Hop
 	if !ok {
 		untargeted.Inc()
 		if p.SYN {
@@ -140,6 +168,9 @@
 		opened.Inc()
 		f.logNewFlow(table, route, hop, p, now)
 	}
+	if placement.IsSearch {
+		f.startSearch(p, datagram, now)
+	}
 	f.options.Codec.Mark(datagram, hop.Mark)
 	to := batcher.NewSockaddr(netip.AddrPortFrom(hop.Target.Address.Addr(), f.options.Address.Port()))
 	writer.Add(datagram, &to)
@@ -148,10 +179,11 @@
 
 // findHop returns the target of a packet. A packet that has a mark already came from
 // another process.
-func (f *Forwarder) findHop(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+func (f *Forwarder) findHop(table *router.Table, route *router.Route, p framer.Packet) (placer.Placement, bool) {
 	if p.Mark.Via.IsValid() {
 		misdirected.Inc()
-		return f.placer.PassOn(table, route, p)
+		hop, ok := f.placer.PassOn(table, route, p)
+		return placer.Placement{Hop: hop}, ok
 	}
 	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: f.options.Address.Addr()}
 	return f.placer.Place(table, route, p)
--- a/internal/framer/progress.go
+++ b/internal/framer/progress.go
@@ -28,22 +28,31 @@
 const (
 	passBits = 2
 	passMask = 1<<passBits - 1
+	// branchBit is set in the progress of a branch.
+	branchBit    = 1 << passBits
+	progressBits = passBits + 1
 )
 
 // StartProgress is the progress of a search that has visited no target yet.
 const StartProgress = ^uint32(0)
 
 // NewProgress returns the progress after the visit of the target with a rank. It
-// drops the lowest of the rank's 31 bits: two targets of one flow differ in this
-// bit alone with a probability of 1 in 10^9.
-func NewProgress(rank uint32, pass Pass) uint32 { return rank>>1<<passBits | uint32(pass) }
+// drops the lowest of the rank's 30 bits: two targets of one flow differ in this
+// bit alone with a probability of 1 in 5*10^8.
+func NewProgress(rank uint32, pass Pass) uint32 { return rank>>1<<progressBits | uint32(pass) }
+
+// NewBranchProgress returns the progress of a branch after the visit of the target
+// with a rank. A branch visits a part of the targets only, so that its end does not
+// prove that no target holds the flow. The progress carries this, since a target
+// that returns a packet keeps nothing else of the mark.
+func NewBranchProgress(rank uint32) uint32 { return NewProgress(rank, FullPass) | branchBit }
 
 // Rank returns the rank below which the search continues.
 func (m Mark) Rank() uint32 {
 	if m.Progress == StartProgress {
 		return selector.StartRank
 	}
-	return m.Progress >> passBits << 1
+	return m.Progress >> progressBits << 1
 }
 
 // Pass returns the pass of the search, FirstPass for a search that has not
@@ -54,3 +63,16 @@
 	}
 	return Pass(m.Progress & passMask)
 }
+
+// IsBranch reports whether the packet travels on a branch of a search.
+func (m Mark) IsBranch() bool { return m.Progress != StartProgress && m.Progress&branchBit != 0 }
+
+// Advance returns the mark after the visit of the target with a rank in a pass.
+func (m Mark) Advance(rank uint32, pass Pass) Mark {
+	isBranch := m.IsBranch()
+	m.Progress = NewProgress(rank, pass)
+	if isBranch {
+		m.Progress |= branchBit
+	}
+	return m
+}
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -11,10 +11,6 @@
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
 
-// maxHops bounds the forwarding of a packet between agents. Routing tables that
-// change during a search can cause a loop.
-const maxHops = 250
-
 // Action is what an agent does with a packet.
 type Action uint8
 
@@ -132,10 +128,10 @@
 	others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != own && accept(n, t, pass) }
 	hop, ok := table.FindNextHop(route, key, p.Mark, others)
 	switch {
-	case ok && p.Mark.Hops < maxHops:
+	case ok && p.Mark.Hops < router.MaxHops:
 		hop.Mark.Hops++
 		return Decision{Action: PassOn, Hop: hop}
-	case !p.SYN && !p.RST && p.Mark.Hops < maxHops && table.ProvesNoHolder(age):
+	case !p.SYN && !p.RST && !p.Mark.IsBranch() && p.Mark.Hops < router.MaxHops && table.ProvesNoHolder(age):
 		return Decision{Action: Reset}
 	}
 	return Decision{Action: Drop}
--- a/internal/placer/agent_test.go
+++ b/internal/placer/agent_test.go
@@ -155,3 +155,25 @@
 	withoutRoute := router.NewTable(router.Config{Version: 1}, nil, router.Position{Revision: 1})
 	is.Equal(a.DecideUnrouted(withoutRoute, data), Drop)
 }
+
+// TestBranch guards against the reset of an open flow at the end of a branch, which
+// has not visited the target that holds it, and against branches that go on.
+func TestBranch(t *testing.T) {
+	is := is.New(t)
+	a := newAgent()
+	table, route := newTable(func(*router.Target) {})
+	data := packet(1, func(p *framer.Packet) { p.Mark.Progress = framer.NewProgress(1, framer.FullPass) })
+	is.Equal(a.PassOn(table, route, data, 0).Action, Reset)
+	data.Mark.Progress = framer.NewBranchProgress(1)
+	is.Equal(a.PassOn(table, route, data, 0).Action, Drop)
+	others := router.NewTable(router.Config{
+		Version: 1, Routes: []router.Route{{Address: published, Shares: []router.Share{{Service: "feeds", Weight: 1}}}},
+	}, feeds("a", "b"), router.Position{Revision: 1})
+	branch := others.Split(route, data.Key(), 1, caller.Addr(), a.options.Chooser.AcceptOpenFlow())[0]
+	data.Mark = branch.Mark
+	next := a.PassOn(others, route, data, 0)
+	is.Equal(next.Action, PassOn)
+	is.True(next.Hop.Mark.IsBranch())
+	data.Mark.Hops = next.Hop.Mark.Hops
+	is.Equal(a.PassOn(others, route, data, 0).Action, Drop)
+}
--- a/internal/placer/balancer.go
+++ b/internal/placer/balancer.go
@@ -5,67 +5,67 @@
 	"math"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-	lru "github.com/hashicorp/golang-lru/v2"
-
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/router"
 )
 
-// maxHints is the capacity of the hint cache; an entry takes about 100 bytes.
-const maxHints = 65_536
-
-// hint is the target that holds a flow or that its opening packet was sent to.
-type hint struct {
-	target uint32
-	// sequence is the sequence number of the opening packet, if hasSequence. It
-	// tells the flow from an earlier one with the same addresses and ports.
-	sequence    uint32
-	hasSequence bool
+// Placement is where a balancer sends a packet of a caller.
+type Placement struct {
+	router.Hop
+	// IsSearch is set if the target may not hold the packet's flow. The agent whose
+	// target holds it tells the balancer so.
+	IsSearch bool
 }
 
 // Balancer places the packets of callers. It is safe for concurrent use.
 type Balancer struct {
 	chooser *chooser.Chooser
-	hints   *lru.Cache[uint64, hint]
+	hints   *hintCache
 	zone    string
 }
 
 // NewBalancer returns a balancer without hints in an availability zone.
 func NewBalancer(zone string, c *chooser.Chooser) (*Balancer, error) {
-	hints, err := lru.New[uint64, hint](maxHints)
+	hints, err := newHintCache()
 	if err != nil {
-		return nil, merry.Prepend(err, "create hint cache")
+		return nil, err
 	}
 	return &Balancer{chooser: c, hints: hints, zone: zone}, nil
 }
 
 // AddHint caches which target holds a flow.
-func (b *Balancer) AddHint(flow uint64, target uint32) {
-	h, _ := b.hints.Peek(flow)
-	h.target = target
-	b.hints.Add(flow, h)
-}
+func (b *Balancer) AddHint(flow uint64, target uint32) { b.hints.confirm(flow, target) }
 
 // Place returns the target of a caller's packet, or false if there is none.
-func (b *Balancer) Place(table *router.Table, route *router.Route, p framer.Packet) (router.Hop, bool) {
+func (b *Balancer) Place(table *router.Table, route *router.Route, p framer.Packet) (Placement, bool) {
 	key := p.Key()
 	if p.SYN {
 		hop, ok := b.placeNewFlow(table, route, key, p)
 		if ok {
-			b.hints.Add(key, hint{target: hop.Number, sequence: p.Sequence, hasSequence: true})
+			b.hints.open(key, hop.Number, p.Sequence)
 		}
-		return hop, ok
+		return Placement{Hop: hop}, ok
 	}
-	if h, ok := b.hints.Get(key); ok {
-		target, ok := table.FindTarget(h.target)
-		if ok && route.Allows(target.Service) && (target.State != router.Gone || !b.chooser.IsDown(h.target)) {
-			return router.Hop{Number: h.target, Target: target, Mark: p.Mark}, true
+	if number, isDoubtful, ok := b.hints.find(key, p); ok {
+		target, ok := table.FindTarget(number)
+		if ok && route.Allows(target.Service) && (target.State != router.Gone || !b.chooser.IsDown(number)) {
+			return newPlacement(router.Hop{Number: number, Target: target, Mark: p.Mark}, p, isDoubtful), true
 		}
-		b.hints.Remove(key)
+		b.hints.remove(key)
+	}
+	hop, ok := table.FindNextHop(route, key, p.Mark, b.chooser.AcceptOpenFlow())
+	return newPlacement(hop, p, true), ok
+}
+
+// newPlacement returns the placement of a packet of an open flow. An agent sends a
+// hint for a packet with at least one hop. A caller's reset needs no answer.
+func newPlacement(hop router.Hop, p framer.Packet, isSearch bool) Placement {
+	if isSearch && !p.RST {
+		hop.Mark.Hops++
+		return Placement{Hop: hop, IsSearch: true}
 	}
-	return table.FindNextHop(route, key, p.Mark, b.chooser.AcceptOpenFlow())
+	return Placement{Hop: hop}
 }
 
 // PassOn returns the next target of a packet that another process sent here. An
@@ -78,7 +78,7 @@
 	}
 	hop, ok := table.FindNextHop(route, p.Key(), p.Mark, accept)
 	hop.Mark.Hops++
-	return hop, ok && p.Mark.Hops < maxHops
+	return hop, ok && p.Mark.Hops < router.MaxHops
 }
 
 // placeNewFlow chooses the target of a new flow. A retransmitted opening packet
@@ -86,8 +86,8 @@
 // target if there is one.
 func (b *Balancer) placeNewFlow(table *router.Table, route *router.Route, key uint64, p framer.Packet) (router.Hop, bool) {
 	accept := b.chooser.AcceptNewFlow(route.SelectService(key))
-	if h, ok := b.hints.Get(key); ok && p.AckNumber > 0 && h.hasSequence && h.sequence == p.Sequence {
-		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != h.target && accept(n, t, pass) }
+	if tried, ok := b.hints.findOpened(key, p.Sequence); ok && p.AckNumber > 0 {
+		others := func(n uint32, t *router.Target, pass framer.Pass) bool { return n != tried && accept(n, t, pass) }
 		if hop, ok := table.FindNextHop(route, key, p.Mark, others); ok {
 			return hop, true
 		}
--- a/internal/placer/balancer_test.go
+++ b/internal/placer/balancer_test.go
@@ -94,7 +94,7 @@
 		// The agents that continue the search reach all targets.
 		delete(f.down, first.Number)
 		for ok && hop.Number != first.Number {
-			hop, ok = f.table.FindNextHop(route, p.Key(), hop.Mark, f.chooser.AcceptOpenFlow())
+			hop.Hop, ok = f.table.FindNextHop(route, p.Key(), hop.Mark, f.chooser.AcceptOpenFlow())
 		}
 		is.True(ok)
 	})
@@ -125,3 +125,46 @@
 		is.Equal(f.target(data), "a")
 	})
 }
+
+// TestDoubtfulHint guards against a hint for a target that does not answer and does
+// not hold the flow, which would hide the flow's own target for ever.
+func TestDoubtfulHint(t *testing.T) {
+	data := func(sequence uint32) framer.Packet { return framer.Packet{Sequence: sequence, Length: 10, ACK: true} }
+	place := func(f *fixture, p framer.Packet) Placement {
+		p.Source, p.Destination, p.Mark.Progress = caller, published, framer.StartProgress
+		route, _ := f.table.FindRoute(published)
+		placement, _ := f.Place(f.table, route, p)
+		return placement
+	}
+	t.Run("a packet without a hint is searched for, a caller's reset is not", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, feeds("a", "b")...)
+		is.True(place(f, data(1)).IsSearch)
+		is.True(!place(f, framer.Packet{RST: true}).IsSearch)
+	})
+	t.Run("the hint of an opening packet is doubtful with the first repeated packet", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, feeds("a", "b")...)
+		chosen := place(f, framer.Packet{SYN: true})
+		is.True(!place(f, data(1)).IsSearch)
+		is.True(!place(f, data(2)).IsSearch)
+		repeated := place(f, data(2))
+		is.True(repeated.IsSearch)
+		is.Equal(repeated.Number, chosen.Number)
+		is.Equal(repeated.Mark.Hops, uint8(1))
+	})
+	t.Run("a hint of an agent is doubtful with the second one", func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(t, feeds("a", "b")...)
+		confirm := func() {
+			f.AddHint(framer.Packet{Source: caller, Destination: published}.Key(), router.Target{ID: "a"}.Number())
+		}
+		confirm()
+		is.True(!place(f, data(1)).IsSearch)
+		is.True(!place(f, data(1)).IsSearch)
+		is.True(place(f, data(1)).IsSearch)
+		is.True(!place(f, data(2)).IsSearch)
+		confirm()
+		is.True(!place(f, data(2)).IsSearch)
+	})
+}
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -143,7 +143,7 @@
 			pass = pass.Partial()
 		}
 		if ok {
-			found.hop.Mark = framer.Mark{Progress: framer.NewProgress(found.rank, pass), Via: mark.Via, Hops: mark.Hops}
+			found.hop.Mark = mark.Advance(found.rank, pass)
 			return found.hop, true
 		}
 		if pass.IsSecond() {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -50,6 +50,12 @@
 	}
 }
 
+func (r *Runner) endSearch(flow uint64) {
+	if r.forwarder != nil {
+		r.forwarder.EndSearch(flow)
+	}
+}
+
 func (r *Runner) agentReport(target uint32) (chooser.Report, bool) {
 	p, ok := r.signaller.PeerOfTarget(target)
 	return chooser.Report{
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -116,7 +116,7 @@
 		return nil, merry.Prepend(err, "start process")
 	}
 	if r.signaller, err = signaller.NewSignaller(ctx, signaller.Options{
-		Address: settings.ControlAddress(), BuildBeacon: r.buildBeacon, HandleHint: r.addHint, Logger: logger,
+		Address: settings.ControlAddress(), BuildBeacon: r.buildBeacon, HandleHint: r.addHint, HandleSearchEnd: r.endSearch, Logger: logger,
 	}); err != nil {
 		return nil, merry.Prepend(err, "start process")
 	}
@@ -152,7 +152,7 @@
 	p := r.settings.Packets()
 	r.deliverer, err = deliverer.NewDeliverer(ctx, deliverer.Options{
 		Address: p.Address(), Outbound: p.OutboundAddress(), Backend: p.BackendAddress(), Service: p.Service(),
-		Codec: r.platform.Codec, Table: r.follower.Table, Chooser: r.chooser, Tracker: r.tracker, SendHint: r.signaller.SendHint,
+		Codec: r.platform.Codec, Table: r.follower.Table, Chooser: r.chooser, Tracker: r.tracker, SendHint: r.signaller.SendHint, SendSearchEnd: r.signaller.SendSearchEnd,
 		TableAge: r.follower.TableAge, Record: r.presenter.Record, Logger: r.logger,
 	})
 	return err
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -44,6 +44,9 @@
 	if hint := signal.GetFlowHint(); hint != nil && s.options.HandleHint != nil && s.isAgentOf(hint.GetTarget(), from) {
 		s.options.HandleHint(hint.GetFlow(), hint.GetTarget())
 	}
+	if end := signal.GetSearchEnd(); end != nil && s.options.HandleSearchEnd != nil && s.isAgentOf(end.GetTarget(), from) {
+		s.options.HandleSearchEnd(end.GetFlow())
+	}
 	beacon := signal.GetBeacon()
 	if beacon == nil {
 		return
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -72,7 +72,10 @@
 	BuildBeacon func(now time.Time) *wirepb.Beacon
 	// HandleHint handles a received flow hint. If it is nil, hints are ignored.
 	HandleHint func(flow uint64, target uint32)
-	Logger     zerolog.Logger
+	// HandleSearchEnd handles a received end of a search. If it is nil, these are
+	// ignored.
+	HandleSearchEnd func(flow uint64)
+	Logger          zerolog.Logger
 }
 
 // Peer is the content of the last beacon of a process.
@@ -283,6 +286,12 @@
 	s.send(s.encode(&wirepb.Signal{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: flow, Target: target}}}), to)
 }
 
+// SendSearchEnd tells the process at an address that no target holds a flow. The
+// target is the own one.
+func (s *Signaller) SendSearchEnd(to netip.Addr, flow uint64, target uint32) {
+	s.send(s.encode(&wirepb.Signal{Body: &wirepb.Signal_SearchEnd{SearchEnd: &wirepb.SearchEnd{Flow: flow, Target: target}}}), to)
+}
+
 // send writes one datagram. Errors are only logged at debug level: a lost
 // datagram costs one beacon interval or one search, and the detector notices an
 // unreachable process by its missing answers.
--- a/internal/signaller/signaller_test.go
+++ b/internal/signaller/signaller_test.go
@@ -176,6 +176,18 @@
 		s.handle(hint, unusedAddress, time.Now())
 		is.Equal(hints, 1)
 	})
+	t.Run("the end of a search comes from an agent of the table only", func(t *testing.T) {
+		is := is.New(t)
+		ends := 0
+		s := newSignaller(t, nil)
+		s.options.HandleSearchEnd = func(uint64) { ends++ }
+		s.SetAgents(map[uint32]netip.Addr{6: unusedAddress})
+		end := &wirepb.Signal{Body: &wirepb.Signal_SearchEnd{SearchEnd: &wirepb.SearchEnd{Flow: 5, Target: 6}}}
+		s.handle(end, other, time.Now())
+		is.Equal(ends, 0)
+		s.handle(end, unusedAddress, time.Now())
+		is.Equal(ends, 1)
+	})
 	t.Run("10,000 senders leave the memory bounded and listed agents known", func(t *testing.T) {
 		is := is.New(t)
 		s := newSignaller(t, nil)
@@ -195,6 +207,7 @@
 	for _, signal := range []*wirepb.Signal{
 		beacon(&wirepb.Beacon{Target: 1, Revision: ^uint64(0), ConfirmedAgeMs: ^uint32(0), Running: ^uint32(0), AnswerWanted: true}),
 		{Body: &wirepb.Signal_FlowHint{FlowHint: &wirepb.FlowHint{Flow: 5, Target: 6}}},
+		{Body: &wirepb.Signal_SearchEnd{SearchEnd: &wirepb.SearchEnd{Flow: 5, Target: 6}}},
 		{},
 	} {
 		b, err := proto.Marshal(signal)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -32,6 +32,9 @@
 	// maxBytesAhead exceeds the data that a caller sends beyond what the target has
 	// acknowledged: 16 packets of at most 1,200 bytes.
 	maxBytesAhead = 1 << 17
+	// hintInterval is the time after which a balancer is notified again if it still
+	// searches for a flow. Packets of one window arrive within a few milliseconds.
+	hintInterval = 50 * time.Millisecond
 )
 
 // responseTime is a histogram of the seconds from the caller's data to the
@@ -72,6 +75,7 @@
 	isRunning      bool   // the pending request occupies a slot
 	runningSince   time.Time
 	hintedBalancer netip.Addr // last balancer notified that the target holds the flow
+	hintedAt       time.Time
 }
 
 // Tracker tracks the flows of one target. It is safe for concurrent use.
@@ -103,8 +107,10 @@
 	return &Tracker{options: options, flows: make(map[uint64]*flow), assessor: assessor.NewAssessor()}
 }
 
-// ObserveCallerPacket records a caller's packet that is forwarded to the target.
-func (t *Tracker) ObserveCallerPacket(key uint64, p framer.Packet, now time.Time) {
+// ObserveCallerPacket records a caller's packet that is forwarded to the target. If
+// a search found the flow, which the target has answered before, it returns the
+// balancer to notify that the target holds the flow.
+func (t *Tracker) ObserveCallerPacket(key uint64, p framer.Packet, now time.Time) (netip.Addr, bool) {
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	if p.SYN && t.unansweredSince.IsZero() {
@@ -118,7 +124,7 @@
 	}
 	if f == nil {
 		if len(t.flows) >= t.options.MaxFlows {
-			return
+			return netip.Addr{}, false
 		}
 		f = &flow{
 			caller: p.Source, published: p.Destination, openedAt: now, firstSequence: p.Sequence, hasOpening: p.SYN,
@@ -130,9 +136,13 @@
 		}
 	}
 	if !f.contains(p) {
-		return
+		return netip.Addr{}, false
+	}
+	f.lastSeen = now
+	// A packet that a target returned after another one of its flow has lost its mark.
+	if p.Mark.Via.IsValid() {
+		f.via, f.hops = p.Mark.Via, p.Mark.Hops
 	}
-	f.lastSeen, f.via, f.hops = now, p.Mark.Via, p.Mark.Hops
 	end := p.Sequence + uint32(p.Length)
 	if p.Length > 0 && (!f.hasSentData || int32(end-f.nextSequence) > 0) {
 		t.stopExpecting(f)
@@ -152,9 +162,19 @@
 	if p.RST {
 		t.finishRequest(f, recorder.OutcomeUnknown, now)
 		t.removeFlow(key, f, now)
+		return netip.Addr{}, false
 	}
+	if !f.isEstablished || !f.isSearched() || f.hintedBalancer == f.via && now.Sub(f.hintedAt) < hintInterval {
+		return netip.Addr{}, false
+	}
+	f.hintedBalancer, f.hintedAt = f.via, now
+	return f.via, true
 }
 
+// isSearched reports whether the balancer of the caller's last packet searches for
+// the flow.
+func (f *flow) isSearched() bool { return f.hops > 0 && f.via.IsValid() }
+
 // isOpenedBy reports whether an opening packet with a sequence number belongs to
 // this flow. Callers use their ports again, so an opening packet with another
 // number, or after the end of the flow, opens a new flow with the same key. A flow
@@ -237,10 +257,10 @@
 		t.removeFlow(key, f, now)
 		return netip.Addr{}, false
 	}
-	if f.hops == 0 || !f.via.IsValid() || f.hintedBalancer == f.via {
+	if !f.isSearched() || f.hintedBalancer == f.via {
 		return netip.Addr{}, false
 	}
-	f.hintedBalancer = f.via
+	f.hintedBalancer, f.hintedAt = f.via, now
 	return f.via, true
 }
 
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -242,6 +242,38 @@
 		_, ok = tr.ObserveTargetPacket(key, framer.Packet{}, start)
 		is.True(!ok)
 	})
+	// Guards against a balancer that goes on searching, because the target has
+	// nothing to send on the flow.
+	t.Run("a packet of a flow that the target has answered is enough for a hint", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		openFlow(tr, start)
+		found := data(101)
+		found.Mark = framer.Mark{Via: balancer, Hops: 1}
+		via, ok := tr.ObserveCallerPacket(key, found, start)
+		is.True(ok)
+		is.Equal(via, balancer)
+		_, ok = tr.ObserveCallerPacket(key, found, start.Add(hintInterval-1))
+		is.True(!ok)
+		// Guards against a lost hint.
+		_, ok = tr.ObserveCallerPacket(key, found, start.Add(hintInterval))
+		is.True(ok)
+		direct := data(151)
+		direct.Mark.Via = balancer
+		_, ok = tr.ObserveCallerPacket(key, direct, start.Add(time.Second))
+		is.True(!ok)
+	})
+	// Guards against hints to nobody: of the packets of a window, only the first that
+	// a target returns keeps its mark.
+	t.Run("a packet without a mark keeps the balancer of the flow", func(t *testing.T) {
+		is := is.New(t)
+		tr := NewTracker(Options{})
+		tr.ObserveCallerPacket(key, open(2), start)
+		tr.ObserveCallerPacket(key, data(101), start)
+		via, ok := tr.ObserveTargetPacket(key, framer.Packet{}, start)
+		is.True(ok)
+		is.Equal(via, balancer)
+	})
 	t.Run("a flow that needed no search needs no hint", func(t *testing.T) {
 		is := is.New(t)
 		tr := NewTracker(Options{})
--- a/selector/order.go
+++ b/selector/order.go
@@ -1,7 +1,10 @@
 package selector
 
+// rankBits is the size of a rank, of which packet headers carry all but one bit.
+const rankBits = 30
+
 // StartRank is above every rank. With it, Next returns the first target of a key.
-const StartRank = 1<<31 - 1
+const StartRank = 1<<rankBits - 1
 
 // Next returns the target of a key with the highest rank below the given one
 // among those for which accept returns true, or false when none is left. It calls
@@ -10,7 +13,7 @@
 //
 // Weights do not affect the order, so targets that two tables share have the same
 // order in both, and a process can continue an iteration that another one began.
-// Ranks have 31 bits.
+// Ranks have rankBits bits.
 func (t *Table) Next(hash uint64, below uint32, accept func(target, rank uint32) bool) (target, rank uint32, ok bool) {
 	for _, e := range t.entries {
 		r := e.rank(hash)
@@ -22,5 +25,13 @@
 }
 
 func (e Entry) rank(hash uint64) uint32 {
-	return min(uint32(mix(hash^e.seed)>>33), StartRank-1)
+	return min(uint32(mix(hash^e.seed)>>(64-rankBits)), StartRank-1)
+}
+
+// VisitRanks calls visit with every target and its rank for a key, in no particular
+// order.
+func (t *Table) VisitRanks(hash uint64, visit func(target, rank uint32)) {
+	for _, e := range t.entries {
+		visit(e.target, e.rank(hash))
+	}
 }
--- a/standin/simulator/network.go
+++ b/standin/simulator/network.go
@@ -37,7 +37,7 @@
 
 // send delivers a datagram after a delay, unless the network loses it.
 func (w *world) send(delay time.Duration, deliver func()) {
-	if w.random.Float64() >= lossRate {
+	if w.random.Float64() >= w.lossRate {
 		w.after(delay, deliver)
 	}
 }
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -10,6 +10,7 @@
 	"kingcupvalve.example/kingcupvalve/internal/placer"
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
 	"kingcupvalve.example/kingcupvalve/internal/router"
+	"kingcupvalve.example/kingcupvalve/internal/searcher"
 	"kingcupvalve.example/kingcupvalve/internal/tracker"
 )
 
@@ -127,7 +128,8 @@
 // balancer forwards callers' packets.
 type balancer struct {
 	process
-	placer *placer.Balancer
+	placer   *placer.Balancer
+	searcher *searcher.Searcher[packet]
 }
 
 func (w *world) newBalancer(zone int) *balancer {
@@ -138,6 +140,7 @@
 		if b.placer, err = placer.NewBalancer(zoneName(b.zone), c); err != nil {
 			panic(err) // fails only for a cache without room
 		}
+		b.searcher = searcher.NewSearcher[packet](searcher.Options{Accept: c.AcceptOpenFlow})
 	}
 	return b
 }
@@ -159,6 +162,9 @@
 	if !ok {
 		return
 	}
+	if hop.IsSearch {
+		b.startSearch(p)
+	}
 	p.Mark = hop.Mark
 	if p.Length > 0 {
 		b.world.forwarded++
@@ -169,12 +175,39 @@
 	b.world.sendToAgent(b.zone, hop.Target.Address.Addr(), p)
 }
 
+func (b *balancer) startSearch(p packet) {
+	if b.searcher.Start(p.Packet, func() packet { return p }, b.world.now) {
+		b.world.after(searcher.TickInterval, func() { b.continueSearches(b.startedAt) })
+	}
+}
+
+// continueSearches sends the branches of searches that are due, unless the balancer
+// has stopped since a time.
+func (b *balancer) continueSearches(startedAt time.Time) {
+	if !b.isUp || !b.startedAt.Equal(startedAt) {
+		return
+	}
+	visits, isPending := b.searcher.Tick(b.table, b.world.now)
+	for _, v := range visits {
+		p := v.Payload
+		p.Mark = v.Hop.Mark
+		b.world.hops++
+		b.world.sendToAgent(b.zone, v.Hop.Target.Address.Addr(), p)
+	}
+	if isPending {
+		b.world.after(searcher.TickInterval, func() { b.continueSearches(startedAt) })
+	}
+}
+
 // agent delivers packets to the target on its host.
 type agent struct {
 	process
 	placer  *placer.Agent
 	tracker *tracker.Tracker
 	target  *target
+	// isDeaf and isMute are set while packets to the agent, or from it to others,
+	// are lost.
+	isDeaf, isMute bool
 }
 
 func (w *world) newAgent(t *target) *agent {
@@ -222,7 +255,7 @@
 }
 
 func (a *agent) receive(p packet) {
-	if !a.isUp || a.table == nil {
+	if !a.isUp || a.isDeaf || a.table == nil {
 		return
 	}
 	w := a.world
@@ -235,7 +268,9 @@
 		a.act(decision, p)
 		return
 	}
-	a.tracker.ObserveCallerPacket(p.Key(), p.Packet, w.now)
+	if via, ok := a.tracker.ObserveCallerPacket(p.Key(), p.Packet, w.now); ok {
+		a.sendHint(via, p.Key())
+	}
 	a.target.receive(p)
 }
 
@@ -253,17 +288,31 @@
 
 func (a *agent) act(decision placer.Decision, p packet) {
 	w := a.world
+	if a.isMute {
+		return
+	}
 	switch decision.Action {
 	case placer.PassOn:
 		p.Mark = decision.Hop.Mark
 		w.hops++
 		w.sendToAgent(a.zone, decision.Hop.Target.Address.Addr(), p)
 	case placer.Reset:
+		w.signal(a.zone, p.Mark.Via, func(b *balancer) { b.searcher.Finish(p.Key(), searcher.Unheld) })
 		w.send(w.callerDelay, func() { p.flow.reset() })
 	case placer.Drop, placer.Deliver:
 	}
 }
 
+// sendHint tells a balancer that the agent's target holds a flow.
+func (a *agent) sendHint(via netip.Addr, flow uint64) {
+	if number, _, ok := a.placer.FindOwnTarget(a.table); ok {
+		a.world.signal(a.zone, via, func(b *balancer) {
+			b.placer.AddHint(flow, number)
+			b.searcher.Finish(flow, searcher.Found)
+		})
+	}
+}
+
 // sendToCaller carries a packet of the target. It returns false while the agent
 // does not run.
 func (a *agent) sendToCaller(f *flow, p framer.Packet, deliver func()) bool {
@@ -273,10 +322,7 @@
 	w := a.world
 	p.Source, p.Destination = f.published, f.caller
 	if via, ok := a.tracker.ObserveTargetPacket(p.ReverseKey(), p, w.now); ok && a.table != nil {
-		if number, _, ok := a.placer.FindOwnTarget(a.table); ok {
-			key := p.ReverseKey()
-			w.sendHint(a.zone, via, key, number)
-		}
+		a.sendHint(via, p.ReverseKey())
 	}
 	w.send(w.callerDelay, deliver)
 	return true
--- a/standin/simulator/world.go
+++ b/standin/simulator/world.go
@@ -83,6 +83,7 @@
 	zones       int
 	crossZone   time.Duration
 	callerDelay time.Duration
+	lossRate    float64
 	store       store
 	kinds       []*kind
 	rotations   [][]*rotation // by zone
@@ -105,12 +106,7 @@
 
 // Play runs a load against a variant and returns what the callers got.
 func Play(l Load, v Variant, seed uint64) *Result {
-	w := &world{
-		variant: v, rate: 1,
-		arrivals: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
-		agentAt: make(map[netip.Addr]*agent), balancerAt: make(map[netip.Addr]*balancer),
-	}
-	w.now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	w := newWorld(v, seed)
 	start := w.now.Add(warmUp)
 	d := l.Deployment
 	w.zones, w.crossZone, w.callerDelay = d.Zones.drawInt(w.random), d.CrossZone.drawMs(w.random), d.CallerDelay.drawMs(w.random)
@@ -133,6 +129,16 @@
 	return w.result
 }
 
+func newWorld(v Variant, seed uint64) *world {
+	w := &world{
+		variant: v, rate: 1, lossRate: lossRate,
+		arrivals: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
+		agentAt: make(map[netip.Addr]*agent), balancerAt: make(map[netip.Addr]*balancer),
+	}
+	w.now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	return w
+}
+
 func (w *world) newAddress() netip.Addr {
 	w.lastHost++
 	return netip.AddrFrom4([4]byte{10, 0, byte(w.lastHost >> 8), byte(w.lastHost)})
@@ -247,14 +253,15 @@
 	}
 }
 
-func (w *world) sendHint(zone int, via netip.Addr, flow uint64, target uint32) {
+// signal has a balancer handle a signal from a process in a zone.
+func (w *world) signal(zone int, via netip.Addr, handle func(b *balancer)) {
 	b, ok := w.balancerAt[via]
 	if !ok {
 		return
 	}
 	w.send(w.delay(zone, b.zone), func() {
 		if b.isUp {
-			b.placer.AddHint(flow, target)
+			handle(b)
 		}
 	})
 }
