--- a/internal/placer/hint.go
+++ b/internal/placer/hint.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// maxHints is the capacity of the hint cache; an entry takes about 140 bytes.
+	// maxHints is the capacity of the hint cache; an entry takes about 150 bytes.
 	maxHints = 65_536
 	// doubtLimit is the number of doubts from which a hint has to be confirmed.
 	doubtLimit = 2
