Test a new balancer behind a silent target with real sockets

Cause: TestHiddenTarget plays the decisions in virtual time; nothing in the suite showed that the balancer's process sends the branches.

Change: a subtest of TestConductor, and clearer names in TestHiddenTarget. No product code.

--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -13,6 +13,7 @@
 const (
 	firstBalancer  = 1
 	secondBalancer = 2
+	thirdBalancer  = 3
 	firstTarget    = 11
 	secondTarget   = 12
 	thirdTarget    = 13
@@ -86,6 +87,21 @@
 		}
 		assertSameTargets(t, c, owners)
 	})
+	// Guards against open flows without an answer behind a target that is silent: each
+	// copy of a packet takes the same way, and the silent target's agent lives.
+	t.Run("a silent target hides no flow from a new balancer", func(t *testing.T) {
+		f, _ := newServingFleet(t)
+		c := f.newCallers(callerHost, firstBalancer)
+		owners := openFlows(c)
+		listen(t, backendAddress(f, thirdTarget))
+		f.setTarget(thirdTarget, router.Serving)
+		f.start("agent", thirdTarget)
+		f.awaitReady(thirdTarget)
+		f.start("balancer", thirdBalancer)
+		f.awaitReady(thirdBalancer)
+		c.balancer = thirdBalancer
+		assertSameTargets(t, c, owners)
+	})
 	t.Run("a draining target gets no new flows", func(t *testing.T) {
 		is := is.New(t)
 		f, agent := newServingFleet(t)
--- a/standin/simulator/search_test.go
+++ b/standin/simulator/search_test.go
@@ -41,7 +41,7 @@
 }
 
 // newStrayedFlow starts a service with the given number of targets, one of which
-// holds a flow. A number of the port changes the order of the targets.
+// holds a flow. The caller's port determines the order of the targets.
 func newStrayedFlow(targets, balancers, port int, seed uint64) *strayedFlow {
 	w := newWorld(Policy(), seed)
 	w.zones, w.crossZone, w.callerDelay, w.lossRate = 2, 500*time.Microsecond, time.Millisecond, 0
@@ -89,7 +89,7 @@
 
 func (s *strayedFlow) isDelivered() bool { return s.request.runs > 0 }
 
-// checkDelivered plays the copies and fails unless the target gets the packet in
+// checkDelivered plays the time in which a copy has to arrive, and fails unless the target gets the packet in
 // time, once, and the flow stays open.
 func (s *strayedFlow) checkDelivered(t fataler) {
 	t.Helper()
@@ -180,10 +180,10 @@
 		s.sendCopies(func(i int) *balancer { return s.balancers[via[i]] })
 		s.checkDelivered(t)
 	}))
-	// Guards against a hint for another target that outlives the way by which it came
-	// about: its target does not answer any more.
-	t.Run("a wrong hint names a hop that does not answer", func(t *testing.T) {
-		for name, fail := range hopFaults {
+	// Guards against a hint that is never questioned: it names a target that does not
+	// answer and does not hold the flow.
+	for name, fail := range hopFaults {
+		t.Run("a wrong hint, "+name, func(t *testing.T) {
 			s := newStrayedFlow(7, 2, 40_000, 1)
 			wrong := s.agents[0]
 			if wrong == s.holder {
@@ -192,11 +192,10 @@
 			number, _, _ := s.balancers[0].table.FindTargetAt(wrong.target.address)
 			s.balancers[0].placer.AddHint(s.data().Key(), number)
 			fail(wrong)
-			t.Log(name)
 			s.sendCopies(func(int) *balancer { return s.balancers[0] })
 			s.checkDelivered(t)
-		}
-	})
+		})
+	}
 }
 
 // BenchmarkStrayedPacket measures the packets that a balancer and agents send for a
