--- a/review/reviewrig/main.go
+++ b/review/reviewrig/main.go
@@ -27,6 +27,7 @@
 
 var cases = map[string]playFunc{
 	"stale-beacons": playStaleBeacons,
+	"power-loss":    playPowerLoss,
 	"new-routes":    playNewRoutes,
 	"clock-step":    playClockStep,
 }
--- a/review/reviewrig/rig.go
+++ b/review/reviewrig/rig.go
@@ -63,6 +63,7 @@
 	opened                    openFunc
 	slots                     int
 	workTime                  time.Duration
+	calls                     callCount
 	requestNumber             atomic.Uint64
 	seeds                     string
 }
@@ -329,3 +330,24 @@
 	}
 	return c
 }
+
+// callCount counts the requests of short flows.
+type callCount struct{ sent, served int }
+
+func (r *rig) countCall(isServed bool) {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	r.calls.sent++
+	if isServed {
+		r.calls.served++
+	}
+}
+
+// takeCalls returns the requests that ended since the last call.
+func (r *rig) takeCalls() callCount {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	calls := r.calls
+	r.calls = callCount{}
+	return calls
+}
--- a/review/reviewrig/stalebeacons.go
+++ b/review/reviewrig/stalebeacons.go
@@ -174,9 +174,7 @@
 func (r *rig) callOnce(host *callerHost, route int) {
 	f := host.newFlow(published(route))
 	defer f.close()
-	if f.open() == answered {
-		f.request(r.requestNumber.Add(1))
-	}
+	r.countCall(f.open() == answered && f.request(r.requestNumber.Add(1)) == answered)
 }
 
 func (r *rig) freeze(m *machine) {
--- a/review/reviewrig/store.go
+++ b/review/reviewrig/store.go
@@ -44,8 +44,6 @@
 	return s.write(storeItem{Key: key, Value: b})
 }
 
-func (s *store) remove(key string) time.Time { return s.write(storeItem{Key: key, IsGone: true}) }
-
 func (s *store) write(i storeItem) time.Time {
 	s.lock.Lock()
 	defer s.lock.Unlock()
--- a/review/reviewrig/target.go
+++ b/review/reviewrig/target.go
@@ -134,13 +134,12 @@
 	}()
 }
 
-// leave ends the target and removes its entry.
-func (t *target) leave() {
+// crash ends the target without a word.
+func (t *target) crash() {
 	t.lock.Lock()
 	t.isClosed = true
 	t.lock.Unlock()
 	_ = t.conn.Close()
-	t.rig.store.remove(names.EntryPrefix + t.id)
 }
 
 // holds reports whether the target has a flow open.
