--- a/review/reviewrig/store.go
+++ b/review/reviewrig/store.go
@@ -112,7 +112,7 @@
 	s.lock.Unlock()
 	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
 	e.answer(w, r, map[string]any{
-		"items": items[:min(len(items), pageSize)], names.More: len(items) > pageSize, names.AtRevision: revision,
+		"items": items[:min(len(items), pageSize)], names.More: len(items) > pageSize, names.AnswerRevision: revision,
 	})
 }
 
@@ -136,7 +136,7 @@
 			if !e.isCut.Load() {
 				e.told(revision)
 			}
-			e.answer(w, r, map[string]any{"events": events, names.AtRevision: revision})
+			e.answer(w, r, map[string]any{"events": events, names.AnswerRevision: revision})
 			return
 		}
 		select {
@@ -146,7 +146,7 @@
 			case e.confirmed <- struct{}{}:
 			default:
 			}
-			e.answer(w, r, map[string]any{"events": []storeItem{}, names.AtRevision: revision})
+			e.answer(w, r, map[string]any{"events": []storeItem{}, names.AnswerRevision: revision})
 			return
 		case <-r.Context().Done():
 			return
