Keep packets to unlisted addresses until the table is conclusive about them

Cause: a balancer that lacks an address reset its flows if the table was known to be current at most 1.5 s ago. That age says when the table was last known to be current, not that no later version exists. A route is used as soon as it is confirmed, and routers move its flows to a balancer that gets the version up to half a second later.

Change: package deferrer keeps the first packet of a flow to an unlisted address. It is forwarded when the table lists the address, and refused with a reset when the table is known to have been current after the packet arrived. That decides also for routes that were removed and published again, for a process that has just started and for one that is cut off. While a peer is known to have a later configuration of the same epoch, which a restored store may have lost, nothing is concluded from the own table, at the end of searches either.

A caller at an address without a route gets its reset when the next confirmation comes, in place of at once; opening packets at a route that is newer than the table are served in place of refused.

TestUnlistedAddress and TestDeferrer guard the parts, TestLaterConfig the later configuration of a peer.

--- a/imports_test.go
+++ b/imports_test.go
@@ -99,7 +99,7 @@
 // flowDecisionPackages are the packages under internal that decide about packet
 // flows. They use no sockets and take the time as a parameter.
 var flowDecisionPackages = []string{
-	"framer", "router", "registrar", "chooser", "assessor", "admitter", "forecaster", "pacer", "tracker", "placer", "searcher", "checker",
+	"framer", "router", "registrar", "chooser", "assessor", "admitter", "forecaster", "pacer", "tracker", "placer", "searcher", "deferrer", "checker",
 }
 
 func TestInternalDecisionsUseNoSockets(t *testing.T) {
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -76,6 +76,8 @@
 	Admitter *admitter.Admitter
 	// TableAge returns the time since the table was last known to be current.
 	TableAge func(now time.Time) time.Duration
+	// ConclusiveAge returns the age of the table for conclusions from what it lacks.
+	ConclusiveAge func(now time.Time) time.Duration
 	// SendHint tells a balancer that the agent's target holds a flow.
 	SendHint func(balancer netip.Addr, flow uint64, target uint32)
 	// SendSearchEnd tells a balancer that no target holds a flow. The target is the
@@ -142,7 +144,7 @@
 	route, ok := table.FindRoute(p.Destination)
 	decision := placer.Decision{Action: d.placer.DecideUnrouted(table, p)}
 	if ok {
-		decision = d.placer.Decide(table, route, p, d.options.TableAge(now), now)
+		decision = d.placer.Decide(table, route, p, d.options.ConclusiveAge(now), now)
 	}
 	countAdmission(decision)
 	if decision.Action != placer.Deliver {
@@ -218,7 +220,7 @@
 		unrouted.Inc()
 		return
 	}
-	d.act(d.placer.PassOn(table, route, p, d.options.TableAge(now)), table, p, datagram, writer, now)
+	d.act(d.placer.PassOn(table, route, p, d.options.ConclusiveAge(now)), table, p, datagram, writer, now)
 }
 
 // act carries out a decision about a packet that the agent's target does not get.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,8 +64,8 @@
 	Logger      zerolog.Logger
 }
 
-// Follower holds the routing table. Table, TableAge and Changes are safe for
-// concurrent use.
+// Follower holds the routing table. Table, TableAge, ConclusiveAge, ConfirmedAt and
+// Changes are safe for concurrent use.
 type Follower struct {
 	options        Options
 	timing         timing
@@ -82,13 +82,15 @@
 	position       atomic.Pointer[router.Position]
 	// evacuationDigest is that of the registrar.
 	evacuationDigest atomic.Uint32
-	isFetching       bool
-	nextFetch        time.Time
-	seedCursor       int
-	departures       departureSearch
-	listeners        []func(t *router.Table)
-	lastTick         time.Time
-	isReading        bool
+	// isBehind is set while a peer is known to have a later configuration.
+	isBehind   atomic.Bool
+	isFetching bool
+	nextFetch  time.Time
+	seedCursor int
+	departures departureSearch
+	listeners  []func(t *router.Table)
+	lastTick   time.Time
+	isReading  bool
 	// unreachableSince is when the platform stopped answering; zero while it
 	// answers.
 	unreachableSince time.Time
@@ -176,6 +178,24 @@
 	return now.Sub(f.start) - time.Duration(f.confirmedAt.Load())
 }
 
+// ConclusiveAge returns the age of the table for conclusions from what it lacks. While a
+// peer is known to have a later configuration, it is that of an empty table.
+func (f *Follower) ConclusiveAge(now time.Time) time.Duration {
+	if f.isBehind.Load() {
+		return initialTableAge
+	}
+	return f.TableAge(now)
+}
+
+// ConfirmedAt returns when the table was last known to be current, for conclusions from
+// what it lacks: long ago while a peer is known to have a later configuration.
+func (f *Follower) ConfirmedAt() time.Time {
+	if f.isBehind.Load() {
+		return f.start.Add(-initialTableAge)
+	}
+	return f.confirmedTime()
+}
+
 // AddTableAge increases the age of the table by a time that the monotonic clock
 // did not count, such as a suspension of the machine.
 func (f *Follower) AddTableAge(d time.Duration) { f.confirmedAt.Add(-int64(d)) }
@@ -369,6 +389,7 @@
 			differing = p
 		}
 	}
+	f.isBehind.Store(f.registrar.HasConfig() && newestConfig.Version > version)
 	if f.isFetching || now.Before(f.nextFetch) {
 		return
 	}
--- a/internal/follower/restore_test.go
+++ b/internal/follower/restore_test.go
@@ -111,3 +111,27 @@
 		})
 	})
 }
+
+// TestLaterConfig guards against conclusions from a table that is current by its age while
+// a peer is known to have a later configuration, which the platform may have lost.
+func TestLaterConfig(t *testing.T) {
+	var peerVersion atomic.Uint64
+	peerVersion.Store(1)
+	runFollower(t, newFakePlatform(1), func(o *Options) {
+		o.Peers = func() []Peer {
+			return []Peer{{Position: router.Position{Revision: 1}, Version: peerVersion.Load(), ConfirmedAt: time.Now()}}
+		}
+	}, func(is *is.I, f *Follower) {
+		<-f.Ready()
+		time.Sleep(2 * time.Second)
+		is.True(f.ConclusiveAge(time.Now()) < router.MaxConclusiveAge)
+		is.True(time.Since(f.ConfirmedAt()) < router.MaxConclusiveAge)
+		peerVersion.Store(2)
+		time.Sleep(2 * tickInterval)
+		is.True(f.ConclusiveAge(time.Now()) > router.MaxConclusiveAge)
+		is.True(time.Since(f.ConfirmedAt()) > router.MaxConclusiveAge)
+		peerVersion.Store(1)
+		time.Sleep(2 * time.Second)
+		is.True(f.ConclusiveAge(time.Now()) < router.MaxConclusiveAge)
+	})
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 
 	"kingcupvalve.example/kingcupvalve/internal/batcher"
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/deferrer"
 	"kingcupvalve.example/kingcupvalve/internal/forecaster"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/placer"
@@ -48,6 +49,7 @@
 		"drop_unrouted": unrouted.Get(), "drop_untargeted": untargeted.Get(), "packets_misdirected": misdirected.Get(), "resets_sent": resetsSent.Get(),
 	}
 	maps.Copy(counters, searcher.Counters())
+	maps.Copy(counters, deferrer.Counters())
 	return counters
 }
 
@@ -62,7 +64,12 @@
 	Table func() *router.Table
 	// TableAge returns the time since the table was last known to be current.
 	TableAge func(now time.Time) time.Duration
-	Chooser  *chooser.Chooser
+	// ConclusiveAge returns the age of the table for conclusions from what it lacks.
+	ConclusiveAge func(now time.Time) time.Duration
+	// ConfirmedAt returns when the table was last known to be current, for conclusions
+	// from what it lacks.
+	ConfirmedAt func() time.Time
+	Chooser     *chooser.Chooser
 	// LinkBytesPerSecond is the rate of the network link, 0 if it is not known.
 	LinkBytesPerSecond float64
 	// Ledger has the expected work of the targets. If it is nil, targets are compared
@@ -84,8 +91,15 @@
 	searcher     *searcher.Searcher[[]byte]
 	// searchStarted wakes the goroutine that continues searches.
 	searchStarted chan struct{}
-	// resets owns the buffers of the resets in the current batch until they are
-	// sent.
+	deferrer      *deferrer.Deferrer[[]byte]
+	// packetDeferred wakes the goroutine that releases deferred packets.
+	packetDeferred chan struct{}
+}
+
+// output collects the datagrams that one goroutine sends next.
+type output struct {
+	writer *batcher.Writer
+	// resets owns the buffers of the resets until they are sent.
 	resets [][]byte
 }
 
@@ -99,7 +113,10 @@
 	if err != nil {
 		return nil, errors.Join(merry.Prepend(err, "start forwarder"), conn.Close())
 	}
-	f := &Forwarder{options: options, conn: conn, placer: balancer, searchStarted: make(chan struct{}, 1)}
+	f := &Forwarder{
+		options: options, conn: conn, placer: balancer, searchStarted: make(chan struct{}, 1),
+		deferrer: deferrer.NewDeferrer[[]byte](), packetDeferred: make(chan struct{}, 1),
+	}
 	if options.Ledger != nil {
 		balancer.SetExpect(f.expect)
 	}
@@ -135,19 +152,27 @@
 	var group errgroup.Group
 	group.Go(func() error {
 		defer close(done)
+		var out output
 		return f.conn.Serve(f.conn, f.options.Logger, func() {
 			f.lastReceived.Store(time.Now().UnixNano())
-			f.resets = f.resets[:0]
-		}, f.forward)
+			out.resets = out.resets[:0]
+		}, func(datagram []byte, writer *batcher.Writer, now time.Time) {
+			out.writer = writer
+			f.forward(datagram, &out, now)
+		})
 	})
 	group.Go(func() error {
 		f.continueSearches(done)
 		return nil
 	})
+	group.Go(func() error {
+		f.releaseDeferred(done)
+		return nil
+	})
 	return group.Wait()
 }
 
-func (f *Forwarder) forward(datagram []byte, writer *batcher.Writer, now time.Time) {
+func (f *Forwarder) forward(datagram []byte, out *output, now time.Time) {
 	p, ok := f.options.Codec.Decode(datagram)
 	if !ok {
 		malformed.Inc()
@@ -157,9 +182,7 @@
 	route, ok := table.FindRoute(p.Destination)
 	if !ok {
 		unrouted.Inc()
-		if age := f.options.TableAge(now); age < router.MaxConclusiveAge && !p.RST {
-			f.sendReset(p, "no route", table, age, writer)
-		}
+		f.deferUnrouted(p, datagram, now)
 		return
 	}
 	placement, ok := f.findHop(table, route, p)
@@ -171,8 +194,8 @@
 		}
 		f.options.Logger.Warn().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Bool("opens", p.SYN).
 			Uint64("version", table.Version()).Msg("no target for packet")
-		if age := f.options.TableAge(now); f.placer.Refuses(table, route, p, age) {
-			f.sendReset(p, "service is evacuated", table, age, writer)
+		if f.placer.Refuses(table, route, p, f.options.ConclusiveAge(now)) {
+			f.sendReset(p, "service is evacuated", table, f.options.TableAge(now), out)
 		}
 		return
 	}
@@ -186,7 +209,7 @@
 	}
 	f.options.Codec.Mark(datagram, hop.Mark)
 	to := batcher.NewSockaddr(netip.AddrPortFrom(hop.Target.Address.Addr(), f.options.Address.Port()))
-	writer.Add(datagram, &to)
+	out.writer.Add(datagram, &to)
 	forwarded.Inc()
 }
 
@@ -209,14 +232,15 @@
 		Dur("table_age_ms", f.options.TableAge(now)).Msg("flow forwarded")
 }
 
-func (f *Forwarder) sendReset(p framer.Packet, reason string, table *router.Table, age time.Duration, writer *batcher.Writer) {
-	if writer.IsFull() {
+// sendReset answers a caller's packet with a reset of its flow.
+func (f *Forwarder) sendReset(p framer.Packet, reason string, table *router.Table, age time.Duration, out *output) {
+	if out.writer.IsFull() {
 		return
 	}
 	b := f.options.Codec.EncodeReset(nil, p)
-	f.resets = append(f.resets, b)
+	out.resets = append(out.resets, b)
 	to := batcher.NewSockaddr(netip.AddrPortFrom(p.Source.Addr(), f.options.Address.Port()))
-	writer.Add(b, &to)
+	out.writer.Add(b, &to)
 	resetsSent.Inc()
 	f.options.Logger.Info().Stringer("caller", p.Source).Stringer("published_address", p.Destination).Str("reason", reason).
 		Uint64("version", table.Version()).Dur("table_age_ms", age).Msg("flow reset")
--- a/internal/forwarder/search.go
+++ b/internal/forwarder/search.go
@@ -42,7 +42,7 @@
 		for _, v := range visits {
 			batch = f.addBranch(v, writer, batch)
 		}
-		f.flushBranches(writer)
+		f.flush(writer)
 		batch = batch[:0]
 		if isPending {
 			timer.Reset(searcher.TickInterval)
@@ -53,7 +53,7 @@
 // addBranch adds a packet to the writer, and to the batch, which keeps its bytes.
 func (f *Forwarder) addBranch(v searcher.Visit[[]byte], writer *batcher.Writer, batch [][]byte) [][]byte {
 	if writer.IsFull() {
-		f.flushBranches(writer)
+		f.flush(writer)
 		batch = batch[:0]
 	}
 	datagram := bytes.Clone(v.Payload)
@@ -63,7 +63,8 @@
 	return append(batch, datagram)
 }
 
-func (f *Forwarder) flushBranches(writer *batcher.Writer) {
+// flush sends the datagrams of a writer.
+func (f *Forwarder) flush(writer *batcher.Writer) {
 	if failed, excess := writer.Flush(f.conn); failed+excess > 0 {
 		f.options.Logger.Warn().Int("failed", failed).Int("excess", excess).Msg("failed to send datagrams")
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -151,6 +151,7 @@
 func (r *Runner) buildForwarder(ctx context.Context) (err error) {
 	r.forwarder, err = forwarder.NewForwarder(ctx, forwarder.Options{
 		Address: r.settings.Packets().Address(), Zone: r.settings.AvailabilityZone(), Codec: r.platform.Codec, Table: r.follower.Table, TableAge: r.follower.TableAge,
+		ConclusiveAge: r.follower.ConclusiveAge, ConfirmedAt: r.follower.ConfirmedAt,
 		Chooser: r.chooser, Ledger: r.ledger, LinkBytesPerSecond: r.settings.Packets().LinkBytesPerSecond(), Record: r.presenter.Record, Logger: r.logger,
 	})
 	return err
@@ -165,7 +166,7 @@
 	r.deliverer, err = deliverer.NewDeliverer(ctx, deliverer.Options{
 		Address: p.Address(), Outbound: p.OutboundAddress(), Backend: p.BackendAddress(), Service: p.Service(), Zone: r.settings.AvailabilityZone(),
 		Codec: r.platform.Codec, Table: r.follower.Table, Chooser: r.chooser, Tracker: r.tracker, Pacer: r.pacer, Admitter: admission, SendHint: r.signaller.SendHint, SendSearchEnd: r.signaller.SendSearchEnd,
-		TableAge: r.follower.TableAge, Record: r.presenter.Record, Logger: r.logger,
+		TableAge: r.follower.TableAge, ConclusiveAge: r.follower.ConclusiveAge, Record: r.presenter.Record, Logger: r.logger,
 	})
 	return err
 }
--- a/standin/simulator/caller.go
+++ b/standin/simulator/caller.go
@@ -209,6 +209,9 @@
 
 // reset handles a reset by the system.
 func (f *flow) reset() {
+	if f.world.observeReset != nil {
+		f.world.observeReset(f)
+	}
 	if !f.isClosed {
 		f.end(!f.isOpen)
 	}
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kingcupvalve.example/kingcupvalve/internal/chooser"
+	"kingcupvalve.example/kingcupvalve/internal/deferrer"
 	"kingcupvalve.example/kingcupvalve/internal/forecaster"
 	"kingcupvalve.example/kingcupvalve/internal/framer"
 	"kingcupvalve.example/kingcupvalve/internal/pacer"
@@ -50,6 +51,8 @@
 	registrar *registrar.Registrar
 	table     *router.Table
 	peers     map[uint32]peerState
+	// confirmedAt is when the table was last known to be current.
+	confirmedAt time.Time
 	// ledger has the forecasts of the agents. It is nil in agents.
 	ledger   *forecaster.Ledger
 	lastTick time.Time
@@ -70,7 +73,7 @@
 func (p *process) start() {
 	w := p.world
 	p.isUp, p.startedAt, p.lastTick = true, w.now, w.now
-	p.registrar, p.table, p.peers = registrar.NewRegistrar(), nil, make(map[uint32]peerState)
+	p.registrar, p.table, p.peers, p.confirmedAt = registrar.NewRegistrar(), nil, make(map[uint32]peerState), time.Time{}
 	p.restart()
 	started := p.startedAt
 	w.after(firstReadDelay, func() {
@@ -83,17 +86,34 @@
 	})
 }
 
-// learnDepartures takes over the departed targets that another process knows.
+// learnDepartures takes over the departed targets and the former services of routes
+// that another process knows.
 func (p *process) learnDepartures() {
 	for _, a := range p.world.agents {
 		if &a.process != p && a.isUp && a.table != nil {
-			p.registrar.MergeDepartures(a.registrar.Departures(p.registrar.Position()), p.world.now)
+			now := p.world.now
+			p.registrar.MergeDepartures(a.registrar.Departures(p.registrar.Position()), now)
+			p.registrar.MergeHistory(a.registrar.History(), a.registrar.Position(), a.registrar.HasRouteHistory(now), now)
 			break
 		}
 	}
 	p.registrar.FinishDepartures()
 }
 
+// confirm records that the table was current at a time, if it was. The process hears of it
+// now, and takes it for later by the delay of the message.
+func (p *process) confirm(at time.Time, delay time.Duration) {
+	if !p.isUp || p.table == nil || p.registrar.Position().Compare(p.world.store.positionAt(at)) < 0 {
+		return
+	}
+	if at = at.Add(delay); at.After(p.world.now) {
+		at = p.world.now
+	}
+	if at.After(p.confirmedAt) {
+		p.confirmedAt = at
+	}
+}
+
 // requestBeacons asks every agent for a beacon.
 func (p *process) requestBeacons() {
 	w := p.world
@@ -148,6 +168,7 @@
 	process
 	placer   *placer.Balancer
 	searcher *searcher.Searcher[packet]
+	deferrer *deferrer.Deferrer[packet]
 	// placing is the request whose flow is being placed.
 	placing *request
 }
@@ -165,6 +186,7 @@
 			panic(err) // fails only for a cache without room
 		}
 		b.searcher = searcher.NewSearcher[packet](searcher.Options{Accept: c.AcceptOpenFlow})
+		b.deferrer = deferrer.NewDeferrer[packet]()
 		b.ledger = forecaster.NewLedger()
 		if expect := w.variant.expect(); expect != nil {
 			b.placer.SetExpect(func(target uint32, route *router.Route) (time.Duration, bool) { return expect(b, target, route) })
@@ -183,6 +205,7 @@
 	}
 	route, ok := b.table.FindRoute(p.Destination)
 	if !ok {
+		b.deferUnrouted(p)
 		return
 	}
 	p.Mark = framer.Mark{Progress: framer.StartProgress, Via: b.address}
@@ -252,6 +275,32 @@
 	}
 }
 
+func (b *balancer) deferUnrouted(p packet) {
+	if b.deferrer.Keep(p.Packet, func() packet { return p }, b.world.now) {
+		b.world.after(deferrer.TickInterval, func() { b.releaseDeferred(b.startedAt) })
+	}
+}
+
+// releaseDeferred forwards or refuses deferred packets, unless the balancer has stopped
+// since a time.
+func (b *balancer) releaseDeferred(startedAt time.Time) {
+	if !b.isUp || !b.startedAt.Equal(startedAt) {
+		return
+	}
+	released, isPending := b.deferrer.Tick(b.table, b.confirmedAt, b.world.now)
+	for _, r := range released {
+		switch {
+		case !r.IsRefused:
+			b.receive(r.Payload)
+		case !r.Packet.RST:
+			b.world.send(b.world.callerDelay, r.Payload.flow.reset)
+		}
+	}
+	if isPending {
+		b.world.after(deferrer.TickInterval, func() { b.releaseDeferred(startedAt) })
+	}
+}
+
 // agent delivers packets to the target on its host.
 type agent struct {
 	process
--- a/standin/simulator/world.go
+++ b/standin/simulator/world.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sort"
 	"time"
 
 	"kingcupvalve.example/kingcupvalve/internal/registrar"
@@ -46,10 +47,13 @@
 type store struct {
 	revision uint64
 	history  []registrar.Change
+	// writtenAt has the time of each revision.
+	writtenAt []time.Time
 }
 
-func (s *store) write(c registrar.Change) {
+func (s *store) write(c registrar.Change, now time.Time) {
 	s.revision++
+	s.writtenAt = append(s.writtenAt, now)
 	c.Revision = s.revision
 	if c.Target != nil {
 		c.Target.Revision = s.revision
@@ -59,6 +63,12 @@
 
 func (s *store) position() router.Position { return router.Position{Revision: s.revision} }
 
+// positionAt returns the position that the store had at a time.
+func (s *store) positionAt(at time.Time) router.Position {
+	count := sort.Search(len(s.writtenAt), func(i int) bool { return s.writtenAt[i].After(at) })
+	return router.Position{Revision: uint64(count)}
+}
+
 // after returns the changes after a position.
 func (s *store) after(p router.Position) []registrar.Change { return s.history[p.Revision:] }
 
@@ -114,6 +124,9 @@
 	lastPort       uint32
 	lastHost       uint32
 	lastTarget     int
+	// observeReset is called when the system resets a flow, before its caller knows. It
+	// may be nil.
+	observeReset func(f *flow)
 }
 
 // Play runs a load against a variant and returns what the callers got.
@@ -208,7 +221,7 @@
 		}
 		config.Routes = append(config.Routes, route)
 	}
-	w.store.write(registrar.Change{Key: "config", Config: config})
+	w.store.write(registrar.Change{Key: "config", Config: config, IsFirstConfig: true}, w.now)
 	for zone := range w.zones {
 		w.rotations = append(w.rotations, nil)
 		for range d.Balancers.drawInt(w.random) {
@@ -274,7 +287,7 @@
 
 // publish writes an item, of which each process learns later.
 func (w *world) publish(c registrar.Change) {
-	w.store.write(c)
+	w.store.write(c, w.now)
 	for _, p := range w.processes {
 		w.after(w.drawDuration(changeDelay), p.learn)
 	}
