Give a service that joins a route its first flows after 0.5 s

What callers would see: a reset of an open flow at a service that its route has just got.

Cause: the end of a search resets a flow that no target of the route's services holds. For 2 s after the services changed it does not, but a process that has not learnt of the change does not know that it lacks a service.

Change: a service that a route gets beside another one is chosen for new flows after 0.5 s, like a new target; every process knows it by then.

Not fixed: a route that moves to another service altogether, and a process that starts within 0.5 s after the change.

--- a/internal/registrar/history.go
+++ b/internal/registrar/history.go
@@ -23,6 +23,9 @@
 	Left map[string]time.Time
 	// ChangedAt is when the services of the route changed, or zero.
 	ChangedAt time.Time
+	// joined has the services that the route has got, with the time when this process
+	// learnt it.
+	joined map[string]time.Time
 }
 
 // RouteHistory has a record for each published address whose services changed.
@@ -32,7 +35,7 @@
 func (r *Registrar) History() RouteHistory {
 	history := make(RouteHistory, len(r.history))
 	for address, record := range r.history {
-		record.Left = maps.Clone(record.Left)
+		record.Left, record.joined = maps.Clone(record.Left), nil
 		history[address] = record
 	}
 	return history
@@ -132,7 +135,7 @@
 			continue
 		}
 		previous := before.Routes[i]
-		hasChanged := false
+		hasChanged, joined := false, make(map[string]time.Time)
 		for _, s := range previous.Shares {
 			if !route.Allows(s.Service) {
 				r.addFormer(route.Address, s.Service, now, now)
@@ -140,11 +143,13 @@
 			}
 		}
 		for _, s := range route.Shares {
-			hasChanged = hasChanged || !previous.Allows(s.Service)
+			if !previous.Allows(s.Service) {
+				joined[s.Service], hasChanged = now, true
+			}
 		}
 		if hasChanged {
 			record := r.history[route.Address]
-			record.ChangedAt = now
+			record.ChangedAt, record.joined = now, joined
 			r.history[route.Address] = record
 		}
 	}
@@ -172,10 +177,22 @@
 			}
 		}
 		routes[i].IsPropagating = now.Before(record.propagatedAt())
+		routes[i].Joining = record.joining(now)
 	}
 	return routes
 }
 
+// joining returns the services that other processes may not know to be the route's.
+func (r RouteRecord) joining(now time.Time) []string {
+	var services []string
+	for _, service := range slices.Sorted(maps.Keys(r.joined)) {
+		if now.Before(r.joined[service].Add(propagationTime)) {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
 // propagatedAt returns the time from which other processes know the services of the
 // route.
 func (r RouteRecord) propagatedAt() time.Time {
@@ -192,6 +209,9 @@
 	changed := hasPassed(r.historyGapEnd)
 	for address, record := range r.history {
 		changed = changed || hasPassed(record.propagatedAt())
+		for _, at := range record.joined {
+			changed = changed || hasPassed(at.Add(propagationTime))
+		}
 		for service, at := range record.Left {
 			if now.Sub(at) >= r.flowLifetime {
 				delete(record.Left, service)
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -24,6 +24,9 @@
 	// Former has the services that the route no longer has, but whose targets may
 	// still hold flows of its address. They get no new flows of the route.
 	Former []string
+	// Joining has the services that other processes may not know to be the route's. They
+	// get no new flows of it while it has another service.
+	Joining []string
 	// IsPropagating is set while other processes may not know the services of the
 	// route, so that the end of a search does not prove that no target holds a flow.
 	IsPropagating bool
--- a/internal/router/table.go
+++ b/internal/router/table.go
@@ -18,10 +18,11 @@
 const targetWeight = 1
 
 // MaxConclusiveAge is the maximum age of a table whose missing entries are
-// conclusive: that an address is not published, that a target was removed and,
-// after a complete search, that no target holds a flow. The last requires that
-// targets which other processes may not know yet get no flows, see package
-// chooser, and that the table has the removed targets that may hold flows.
+// conclusive: that a target was removed and, after a complete search, that no target
+// holds a flow. The last requires that targets and services which other processes may
+// not know yet get no flows, see package chooser and Route.Joining, and that the table
+// has the removed targets that may hold flows. That an address has no route takes more,
+// see package deferrer.
 const MaxConclusiveAge = 1500 * time.Millisecond
 
 // Table is an immutable routing table. It is safe for concurrent use.
@@ -291,11 +292,20 @@
 
 // SelectService returns the service that gets a new flow, chosen by weighted
 // rendezvous hashing, so that a change of the weights moves as few flow keys as
-// possible. It returns "" if every weight is 0.
+// possible. It returns "" if every weight is 0. A service that is joining is chosen if
+// there is no other: a search in the table of a process that does not know it yet would
+// not find its flows.
 func (r *Route) SelectService(key uint64) string {
+	if service := r.selectService(key, r.Joining); service != "" || len(r.Joining) == 0 {
+		return service
+	}
+	return r.selectService(key, nil)
+}
+
+func (r *Route) selectService(key uint64, without []string) string {
 	best, highest := "", math.Inf(-1)
 	for _, s := range r.Shares {
-		if s.Weight == 0 {
+		if s.Weight == 0 || slices.Contains(without, s.Service) {
 			continue
 		}
 		uniform := (float64((xxhash.Sum64String(s.Service)^key)*0x9e3779b97f4a7c15>>11) + 0.5) / (1 << 53)
--- a/standin/simulator/version_test.go
+++ b/standin/simulator/version_test.go
@@ -191,6 +191,51 @@
 	}
 }
 
+// serviceSteps change the services of one route, which always has at least one.
+func (w *versionedWorld) serviceSteps(t *rapid.T, sets [][]string) map[string]func(*rapid.T) {
+	steps := w.steps(t)
+	return map[string]func(*rapid.T){
+		"change the services of the route": func(*rapid.T) {
+			w.setRoute(1, rapid.SampledFrom(sets).Draw(t, "services")...)
+		},
+		"open flows": func(*rapid.T) {
+			for range rapid.IntRange(1, 6).Draw(t, "flows") {
+				w.openFlow(1)
+			}
+		},
+		"move flows": steps["move flows"],
+		"":           steps[""],
+	}
+}
+
+func (w *versionedWorld) playServices(t *rapid.T, steps map[string]func(*rapid.T)) {
+	w.setRoute(1, "feeds")
+	w.runUntil(w.now.Add(time.Second))
+	t.Repeat(steps)
+	w.runUntil(w.now.Add(2 * time.Second))
+}
+
+// TestNewerService guards against the reset of an open flow at a service that its route
+// has just got, by processes that do not know this yet.
+func TestNewerService(t *testing.T) {
+	t.Run("a route gets and loses a second service", rapid.MakeCheck(func(t *rapid.T) {
+		w := newVersionedWorld(t, rapid.IntRange(2, 4).Draw(t, "balancers"), rapid.IntRange(1, 5).Draw(t, "targets"), rapid.Uint64().Draw(t, "seed"))
+		w.playServices(t, w.serviceSteps(t, [][]string{{"feeds"}, {"feeds", "bundles"}}))
+	}))
+}
+
+// TestMovedRoute guards against the same reset where the route has no service left that
+// all processes know, and by processes that have just started and can't tell which of its
+// services are new.
+func TestMovedRoute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newVersionedWorld(t, rapid.IntRange(2, 4).Draw(t, "balancers"), rapid.IntRange(1, 5).Draw(t, "targets"), rapid.Uint64().Draw(t, "seed"))
+		steps := w.serviceSteps(t, [][]string{{"feeds"}, {"bundles"}, {"feeds", "bundles"}})
+		steps["restart a process"] = w.steps(t)["restart a process"]
+		w.playServices(t, steps)
+	})
+}
+
 // TestNewerRoute guards against the reset of an open flow by a balancer that does not
 // know the flow's route yet, and against callers that get no answer where there is no
 // route.
