Test silent targets with copies of opening packets

Cause: an agent reports its target as silent once an opening packet stays unanswered for 250 ms. Balancers and agents leave out silent targets in both passes of a search, and the report ends only with a packet of the target. With no open flow the target has nothing to send: the judgement keeps away the only traffic that could revise it. Agents had a rate for test packets, but no packet reached them. The same holds for one target among others that was away for a moment, at any rate of requests.

Change: each report of a silent target lets a balancer send a copy of its next opening packet for the service to the target's agent, while the flow goes to another target. The agent hands at most four a second to the target and keeps the answer from the caller. A caller never waits for a probe, and a target that is really gone costs callers nothing more. Where every other target is away, opening packets go to the silent ones.

Weighed: callers' own opening packets as tests (each costs its caller 200 ms); the target's entry in the store as a sign of life (says nothing while the store is away, nor about a target that hangs); status checks (priced, and they occupy a slot); an agent that repeats the unanswered opening packet (three copies at a target that hangs count as a strayed flow).

Evidence: TestReturningTarget plays who returns when, under which name, with or without a restart of the agent, after a pause, at 1, 3, 30 and 300 requests a second.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -155,6 +155,25 @@
 	}
 }
 
+// AcceptSilent returns the filter for packets that open a flow at a service while every
+// other target is away. It visits targets that are silent: such a target may answer
+// again, and only a packet to it can show this.
+func (c *Chooser) AcceptSilent(service string) router.AcceptFunc {
+	return func(number uint32, target *router.Target, pass framer.Pass) bool {
+		return pass.IsSecond() && target.Service == service && c.IsSilent(number, target)
+	}
+}
+
+// IsSilent reports whether a target would get new flows but for its silence, as its
+// agent reported.
+func (c *Chooser) IsSilent(number uint32, target *router.Target) bool {
+	if !target.TakesNewFlows() || c.isDown(number) {
+		return false
+	}
+	r, known := c.report(number)
+	return known && r.IsSilent && !r.IsLeaving
+}
+
 // AcceptOpenFlow returns the filter for packets of open flows. The first pass
 // visits listed targets whose agents answer. The second pass visits listed
 // targets whose agents do not answer, because such a target may still hold the
--- a/internal/deliverer/deliverer.go
+++ b/internal/deliverer/deliverer.go
@@ -32,16 +32,18 @@
 )
 
 var (
-	delivered     = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
-	answered      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
-	returned      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
-	passedOn      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
-	malformed     = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
-	unrouted      = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
-	resetsSent    = metrics.GetOrCreateCounter("kingcupvalve_deliverer_resets_total")
-	branchesEnded = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="branch ended"}`)
-	copiesRefused = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="cold target"}`)
-	exhausted     = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
+	delivered      = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_delivered_total")
+	answered       = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_answered_total")
+	returned       = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_returned_total")
+	passedOn       = metrics.GetOrCreateCounter("kingcupvalve_deliverer_packets_passed_on_total")
+	malformed      = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="malformed"}`)
+	unrouted       = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="unrouted"}`)
+	resetsSent     = metrics.GetOrCreateCounter("kingcupvalve_deliverer_resets_total")
+	branchesEnded  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="branch ended"}`)
+	copiesRefused  = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="cold target"}`)
+	probed         = metrics.GetOrCreateCounter("kingcupvalve_deliverer_probes_total")
+	probesAnswered = metrics.GetOrCreateCounter("kingcupvalve_deliverer_probe_answers_total")
+	exhausted      = metrics.GetOrCreateCounter(`kingcupvalve_deliverer_packets_dropped_total{reason="no target left"}`)
 )
 
 // Counters returns the packet counters of the process by name.
@@ -51,6 +53,7 @@
 		"packets_passed_on": passedOn.Get(), "drop_malformed": malformed.Get(), "drop_unrouted": unrouted.Get(),
 		"drop_no_target_left": exhausted.Get(), "drop_branch_ended": branchesEnded.Get(), "drop_cold_target": copiesRefused.Get(),
 		"resets_sent": resetsSent.Get(), "openings_refused_cold": pacer.Refused(),
+		"probes": probed.Get(), "probe_answers": probesAnswered.Get(),
 	}
 }
 
@@ -147,6 +150,11 @@
 		decision = d.placer.Decide(table, route, p, d.options.ConclusiveAge(now), now)
 	}
 	countAdmission(decision)
+	if decision.Action == placer.Probe {
+		d.sendToTarget(datagram, p, writer)
+		probed.Inc()
+		return
+	}
 	if decision.Action != placer.Deliver {
 		if !ok {
 			unrouted.Inc()
@@ -166,10 +174,16 @@
 	if via, ok := d.options.Tracker.ObserveCallerPacket(p.Key(), p, now); ok {
 		d.sendHint(via, p.Key())
 	}
+	d.sendToTarget(datagram, p, writer)
+	delivered.Inc()
+}
+
+// sendToTarget hands a packet to the own target, which returns only the progress of the
+// mark.
+func (d *Deliverer) sendToTarget(datagram []byte, p framer.Packet, writer *batcher.Writer) {
 	d.options.Codec.Mark(datagram, framer.Mark{Progress: p.Mark.Progress})
 	to := batcher.NewSockaddr(d.options.Backend)
 	writer.Add(datagram, &to)
-	delivered.Inc()
 }
 
 func (d *Deliverer) logAcceptedFlow(table *router.Table, p framer.Packet, now time.Time) {
@@ -193,6 +207,10 @@
 		return
 	}
 	key := p.ReverseKey()
+	if d.options.Tracker.AnswersProbe(key) {
+		probesAnswered.Inc()
+		return
+	}
 	if via, ok := d.options.Tracker.ObserveTargetPacket(key, p, now); ok {
 		d.sendHint(via, key)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -94,6 +94,7 @@
 	deferrer      *deferrer.Deferrer[[]byte]
 	// packetDeferred wakes the goroutine that releases deferred packets.
 	packetDeferred chan struct{}
+	probes         chan probe
 }
 
 // output collects the datagrams that one goroutine sends next.
@@ -115,7 +116,7 @@
 	}
 	f := &Forwarder{
 		options: options, conn: conn, placer: balancer, searchStarted: make(chan struct{}, 1),
-		deferrer: deferrer.NewDeferrer[[]byte](), packetDeferred: make(chan struct{}, 1),
+		deferrer: deferrer.NewDeferrer[[]byte](), packetDeferred: make(chan struct{}, 1), probes: make(chan probe, maxQueuedProbes),
 	}
 	if options.Ledger != nil {
 		balancer.SetExpect(f.expect)
@@ -169,6 +170,10 @@
 		f.releaseDeferred(done)
 		return nil
 	})
+	group.Go(func() error {
+		f.sendProbes(done)
+		return nil
+	})
 	return group.Wait()
 }
 
@@ -203,6 +208,7 @@
 		opened.Inc()
 		f.recordPlaced(hop, route, now)
 		f.logNewFlow(table, route, hop, p, now)
+		f.probeSilent(table, route, p, datagram, hop.Number)
 	}
 	if placement.IsSearch {
 		f.startSearch(p, datagram, now)
--- a/internal/framer/progress.go
+++ b/internal/framer/progress.go
@@ -47,6 +47,14 @@
 // that returns a packet keeps nothing else of the mark.
 func NewBranchProgress(rank uint32) uint32 { return NewProgress(rank, FullPass) | branchBit }
 
+// ProbeProgress marks an opening packet as a probe of a silent target. It is that of a
+// branch that is over, so that no process passes the packet on.
+const ProbeProgress = uint32(FullPass) | branchBit
+
+// IsProbe reports whether an opening packet is a probe of the target that it was sent
+// to.
+func (m Mark) IsProbe() bool { return m.Progress == ProbeProgress }
+
 // Rank returns the rank below which the search continues.
 func (m Mark) Rank() uint32 {
 	if m.Progress == StartProgress {
--- a/internal/placer/agent.go
+++ b/internal/placer/agent.go
@@ -34,6 +34,9 @@
 	// Refuse discards an opening packet and resets its flow, because its request can't
 	// be served in time.
 	Refuse
+	// Probe hands the packet to the agent's target to find out whether it answers. The
+	// caller does not get the answer.
+	Probe
 )
 
 // Decision is what an agent does with a packet. Hop is set for PassOn, Admission if
@@ -105,8 +108,11 @@
 // Decide decides about a caller's packet that a balancer or another agent sent.
 // The age is the time since the table was last known to be current.
 func (a *Agent) Decide(table *router.Table, route *router.Route, p framer.Packet, age time.Duration, now time.Time) Decision {
-	if !p.SYN {
+	switch {
+	case !p.SYN:
 		return a.decideOpenFlow(table, route, p, age, now)
+	case p.Mark.IsProbe():
+		return a.decideProbe(table, route, p, now)
 	}
 	admission := Admission{}
 	isAccepted := route.Allows(a.options.Service) && a.decideNewFlow(table, route, p, age, now, &admission)
@@ -127,6 +133,17 @@
 	return decision
 }
 
+// decideProbe decides about a copy of an opening packet that tests a silent target. The
+// target gets it under the same conditions as a new flow.
+func (a *Agent) decideProbe(table *router.Table, route *router.Route, p framer.Packet, now time.Time) Decision {
+	_, target, ok := a.FindOwnTarget(table)
+	isAllowed := ok && target.TakesNewFlows() && !a.isStopping.Load() && !a.IsEvacuated(table) && route.SelectService(p.Key()) == a.options.Service
+	if isAllowed && a.options.Tracker.AcceptProbe(p.Key(), now) && a.options.Pacer.Admit(now) {
+		return Decision{Action: Probe}
+	}
+	return Decision{Action: Drop}
+}
+
 // refuseCold decides about an opening packet above the bound of a cold target. A copy
 // of a flow that the target holds must not open the flow at another target, so it is
 // dropped; its caller sends another one.
@@ -201,6 +218,9 @@
 // PassOn decides about a packet that the agent's target does not get: it goes to
 // the next target of its search.
 func (a *Agent) PassOn(table *router.Table, route *router.Route, p framer.Packet, age time.Duration) Decision {
+	if p.SYN && p.Mark.IsProbe() {
+		return Decision{Action: Drop}
+	}
 	accept := a.options.Chooser.AcceptOpenFlow()
 	key := p.Key()
 	if p.SYN {
--- a/internal/placer/balancer.go
+++ b/internal/placer/balancer.go
@@ -33,6 +33,7 @@
 	hints   *hintCache
 	zone    string
 	expect  ExpectFunc
+	probes  probeQueue
 }
 
 // ExpectFunc returns the expected time to an answer of a new flow of a route at a
@@ -124,7 +125,10 @@
 			return hop, true
 		}
 	}
-	return b.findFastest(table, route, key, p.Mark, accept)
+	if hop, ok := b.findFastest(table, route, key, p.Mark, accept); ok {
+		return hop, true
+	}
+	return table.FindNextHop(route, key, p.Mark, b.chooser.AcceptSilent(route.SelectService(key)))
 }
 
 // findFastest compares the first few targets in the order of the flow that have a
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -64,6 +64,12 @@
 	}
 }
 
+func (r *Runner) handleReport(target uint32, p signaller.Peer) {
+	if r.forwarder != nil {
+		r.forwarder.ObserveReport(target, p.IsSilent)
+	}
+}
+
 func (r *Runner) agentReport(target uint32) (chooser.Report, bool) {
 	p, ok := r.signaller.PeerOfTarget(target)
 	return chooser.Report{
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -123,7 +123,7 @@
 		return nil, merry.Prepend(err, "start process")
 	}
 	if r.signaller, err = signaller.NewSignaller(ctx, signaller.Options{
-		Address: settings.ControlAddress(), BuildBeacon: r.buildBeacon, HandleHint: r.addHint, HandleSearchEnd: r.endSearch,
+		Address: settings.ControlAddress(), BuildBeacon: r.buildBeacon, HandleHint: r.addHint, HandleSearchEnd: r.endSearch, HandleReport: r.handleReport,
 		BuildForecast: r.forecastBuilder(), HandleForecast: r.handleForecast, Logger: logger,
 	}); err != nil {
 		return nil, merry.Prepend(err, "start process")
--- a/internal/signaller/receive.go
+++ b/internal/signaller/receive.go
@@ -53,7 +53,8 @@
 	if beacon == nil {
 		return
 	}
-	if number, ok := s.targetOfAgent(beacon.GetTarget(), from); ok {
+	number, isAgent := s.targetOfAgent(beacon.GetTarget(), from)
+	if isAgent {
 		s.detector.RecordReceived(number, now)
 		s.handleForecast(number, beacon.GetForecast(), now)
 	}
@@ -70,6 +71,9 @@
 		peersRefused.Inc()
 		return
 	}
+	if isAgent && s.options.HandleReport != nil {
+		s.options.HandleReport(number, peer)
+	}
 	if beacon.GetAnswerWanted() {
 		s.send(s.encodeAnswer(beacon, now), from)
 	}
--- a/internal/signaller/signaller.go
+++ b/internal/signaller/signaller.go
@@ -85,6 +85,9 @@
 	// HandleSearchEnd handles a received end of a search. If it is nil, these are
 	// ignored.
 	HandleSearchEnd func(flow uint64)
+	// HandleReport handles the state of a target that its agent reported. If it is nil,
+	// reports are only kept.
+	HandleReport func(target uint32, p Peer)
 	// BuildForecast returns the forecast of the own target, which goes to balancers. If
 	// it is nil, none is sent.
 	BuildForecast func(now time.Time) *wirepb.Forecast
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -105,7 +105,9 @@
 	// answers.
 	unansweredCount int
 	lastProbe       time.Time
-	knowledge       knowledge
+	// probes has the times of the probes whose answers callers don't get.
+	probes    map[uint64]time.Time
+	knowledge knowledge
 }
 
 // NewTracker returns a tracker without flows.
@@ -123,7 +125,7 @@
 		options.RecordRestart = func(time.Time) {}
 	}
 	return &Tracker{
-		options: options, flows: make(map[uint64]*flow), assessor: assessor.NewAssessor(), demand: newDemand(),
+		options: options, flows: make(map[uint64]*flow), probes: make(map[uint64]time.Time), assessor: assessor.NewAssessor(), demand: newDemand(),
 		knowledge: knowledge{startedAt: options.StartedAt, hasMissed: options.StartedAt.IsZero()},
 	}
 }
@@ -135,6 +137,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.recordUnanswered(p, now)
+	delete(t.probes, key)
 	f := t.flows[key]
 	if f != nil && p.SYN && !f.isOpenedBy(p.Sequence) {
 		t.finishRequest(f, recorder.OutcomeUnknown, now)
@@ -349,6 +352,7 @@
 	t.lock.Lock()
 	defer t.lock.Unlock()
 	t.knowledge.setIdleTimeout(idleTimeout, now)
+	t.expireProbes(now)
 	for key, f := range t.flows {
 		switch {
 		case now.Sub(f.lastSeen) > max(idleTimeout, t.knowledge.idleTimeout):
@@ -382,7 +386,7 @@
 	return Load{
 		Running: t.runningRequests + t.expectedRequests, Flows: len(t.flows), ServiceTime: t.queue.serviceTime(now),
 		IsSuspect: t.assessor.IsSuspect(now),
-		IsSilent:  !t.unansweredSince.IsZero() && now.Sub(t.unansweredSince) > silenceTimeout,
+		IsSilent:  t.isSilent(now),
 	}
 }
 
@@ -394,15 +398,3 @@
 	f := t.flows[key]
 	return f != nil && f.isEstablished && f.isOpenedBy(sequence)
 }
-
-// TryProbe reports whether an opening packet may be sent to a silent target to
-// test it, at most once per silenceTimeout.
-func (t *Tracker) TryProbe(now time.Time) bool {
-	t.lock.Lock()
-	defer t.lock.Unlock()
-	if now.Sub(t.lastProbe) < silenceTimeout {
-		return false
-	}
-	t.lastProbe = now
-	return true
-}
--- a/standin/simulator/process.go
+++ b/standin/simulator/process.go
@@ -60,6 +60,8 @@
 	restart func()
 	// handleTable is called with each new table. It may be nil.
 	handleTable func(t *router.Table)
+	// observeReport is called with each report of an agent. It may be nil.
+	observeReport func(target uint32, isSilent bool)
 }
 
 func (p *process) buildTable() {
@@ -175,6 +177,7 @@
 
 func (w *world) newBalancer(zone int) *balancer {
 	b := &balancer{process: process{world: w, address: w.newAddress(), zone: zone}}
+	b.observeReport = func(target uint32, isSilent bool) { b.placer.ObserveReport(target, isSilent) }
 	b.restart = func() {
 		report := b.report
 		if w.variant.name == "oracle" {
@@ -220,6 +223,7 @@
 	}
 	if p.SYN {
 		b.recordPlaced(hop.Number, route)
+		b.probeSilent(route, p, hop.Number)
 	}
 	if hop.IsSearch {
 		b.startSearch(p)
@@ -251,6 +255,15 @@
 	b.ledger.RecordPlaced(target, forecaster.NewRouteID(route.Address), now)
 }
 
+// probeSilent sends copies of an opening packet to silent targets.
+func (b *balancer) probeSilent(route *router.Route, p packet, placed uint32) {
+	for _, hop := range b.placer.Probes(b.table, route, p.Packet, placed) {
+		p.Mark = hop.Mark
+		b.world.probes++
+		b.world.sendToAgent(b.zone, hop.Target.Address.Addr(), p)
+	}
+}
+
 func (b *balancer) startSearch(p packet) {
 	if b.searcher.Start(p.Packet, func() packet { return p }, b.world.now) {
 		b.world.after(searcher.TickInterval, func() { b.continueSearches(b.startedAt) })
@@ -365,6 +378,9 @@
 	w.send(w.delay(a.zone, p.zone), func() {
 		if p.isUp {
 			p.peers[number] = peerState{report: report, flows: load.Flows, heardAt: w.now}
+			if p.observeReport != nil {
+				p.observeReport(number, report.IsSilent)
+			}
 			if p.ledger != nil {
 				p.ledger.Update(number, forecast, w.now)
 			}
@@ -382,6 +398,10 @@
 		return
 	}
 	decision := a.placer.Decide(a.table, route, p.Packet, 0, w.now)
+	if decision.Action == placer.Probe {
+		a.target.receive(p)
+		return
+	}
 	if decision.Action != placer.Deliver {
 		a.act(decision, p)
 		return
@@ -435,7 +455,7 @@
 	case placer.Refuse:
 		w.result.refused(p.flow)
 		w.send(w.callerDelay, func() { p.flow.reset() })
-	case placer.Drop, placer.DropCopy, placer.Deliver:
+	case placer.Drop, placer.DropCopy, placer.Deliver, placer.Probe:
 	}
 }
 
@@ -459,6 +479,9 @@
 	}
 	w := a.world
 	p.Source, p.Destination = f.published, f.caller
+	if a.tracker.AnswersProbe(p.ReverseKey()) {
+		return true
+	}
 	if via, ok := a.tracker.ObserveTargetPacket(p.ReverseKey(), p, w.now); ok && a.table != nil {
 		a.sendHint(via, p.ReverseKey())
 	}
