--- a/internal/deferrer/deferrer.go
+++ b/internal/deferrer/deferrer.go
@@ -36,6 +36,9 @@
 	// MaxWait is the time after which a packet is dropped. A process that reaches the
 	// platform or a peer has its table confirmed about once a second.
 	MaxWait = 3 * time.Second
+	// openTimeout is the time after which callers no longer wait for the answer to an
+	// opening packet.
+	openTimeout = 1400 * time.Millisecond
 	// maxPackets bounds the memory for packets to about 5 MB.
 	maxPackets = 4096
 	// confirmationMargin is the time by which a table may seem to be confirmed later
@@ -47,7 +50,7 @@
 var (
 	kept      = metrics.GetOrCreateCounter("kingcupvalve_deferrer_packets_kept_total")
 	rejected  = metrics.GetOrCreateCounter(`kingcupvalve_deferrer_packets_dropped_total{reason="full"}`)
-	expired   = metrics.GetOrCreateCounter(`kingcupvalve_deferrer_packets_dropped_total{reason="table not confirmed"}`)
+	expired   = metrics.GetOrCreateCounter(`kingcupvalve_deferrer_packets_dropped_total{reason="too late"}`)
 	forwarded = metrics.GetOrCreateCounter(`kingcupvalve_deferrer_packets_released_total{outcome="forwarded"}`)
 	refused   = metrics.GetOrCreateCounter(`kingcupvalve_deferrer_packets_released_total{outcome="refused"}`)
 )
@@ -118,21 +121,23 @@
 	for _, k := range d.order {
 		_, isRouted := table.FindRoute(k.packet.Destination)
 		isRefused := !isRouted && confirmedAt.Sub(k.arrivedAt) >= confirmationMargin
+		waited := now.Sub(k.arrivedAt)
+		isOver := waited >= MaxWait || isRouted && k.packet.SYN && waited >= openTimeout
+		if !isRouted && !isRefused && !isOver {
+			remaining = append(remaining, k)
+			continue
+		}
+		delete(d.flows, k.packet.Key())
 		switch {
-		case isRouted:
-			forwarded.Inc()
 		case isRefused:
 			refused.Inc()
-		case now.Sub(k.arrivedAt) >= MaxWait:
+		case isOver:
 			expired.Inc()
-		default:
-			remaining = append(remaining, k)
 			continue
+		default:
+			forwarded.Inc()
 		}
-		delete(d.flows, k.packet.Key())
-		if isRouted || isRefused {
-			released = append(released, Release[P]{Packet: k.packet, Payload: k.payload, IsRefused: isRefused, Waited: now.Sub(k.arrivedAt)})
-		}
+		released = append(released, Release[P]{Packet: k.packet, Payload: k.payload, IsRefused: isRefused, Waited: waited})
 	}
 	clear(d.order[len(remaining):])
 	d.order = remaining
--- a/internal/deferrer/deferrer_test.go
+++ b/internal/deferrer/deferrer_test.go
@@ -71,6 +71,17 @@
 		is.True(!isPending)
 		is.True(d.Keep(packetOf(1), keep, arrival.Add(MaxWait)))
 	})
+	// Guards against flows that a target opens for callers who have given up.
+	t.Run("an opening packet is not forwarded after its caller has given up", func(t *testing.T) {
+		is := is.New(t)
+		d := NewDeferrer[string]()
+		opening := packetOf(1)
+		opening.SYN = true
+		d.Keep(opening, keep, arrival)
+		released, isPending := d.Tick(listing, time.Time{}, arrival.Add(openTimeout))
+		is.Equal(len(released), 0)
+		is.True(!isPending)
+	})
 	t.Run("one packet of a flow is kept, and ticks are asked for once", func(t *testing.T) {
 		is := is.New(t)
 		d := NewDeferrer[string]()
--- a/internal/placer/balancer.go
+++ b/internal/placer/balancer.go
@@ -156,6 +156,9 @@
 		}
 		candidates = append(candidates, c)
 	}
+	if lowestTime == math.MaxInt64 {
+		return first, true
+	}
 	fastest, lowest := candidate{}, math.Inf(1)
 	for i := range candidates {
 		c := &candidates[i]
