Publish a table before the time at which it was known to be current

For as long as the new table takes to build, the one before, which lacks the change, counted as confirmed after it. A packet of a flow on a new route could so be refused, or the end of a search conclude too much.

The table is stored first now, and package forwarder reads the time before the table. TestTableBeforeConfirmation fails before: the subscribers of the new table, which run before it is in force, already saw its time.

--- a/internal/follower/departures.go
+++ b/internal/follower/departures.go
@@ -81,7 +81,7 @@
 	}
 	f.evacuationDigest.Store(f.registrar.EvacuationDigest())
 	if changed {
-		f.publish(now)
+		f.publish(now, time.Time{})
 		f.options.Logger.Info().Str("source", r.source).Int("changes", len(r.batch.Changes)).Int("routes", len(r.batch.History)).
 			Msg("departed targets learnt from peer")
 	}
@@ -100,6 +100,6 @@
 	f.departures.abandonedGapEnd = f.registrar.HistoryGapEnd()
 	changed := f.registrar.AbandonHistory()
 	if f.registrar.FinishDepartures() || changed {
-		f.publish(now)
+		f.publish(now, time.Time{})
 	}
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -291,11 +291,15 @@
 	if r.peer.IsValid() && !changed && position == previous {
 		f.nextFetch = now.Add(fetchRetryDelay)
 	}
+	confirmedAt := time.Time{}
 	if r.batch.Compare(position) >= 0 {
-		f.advanceConfirmedAt(r.batch.ConfirmedAt)
+		confirmedAt = r.batch.ConfirmedAt
+	}
+	if !changed {
+		f.advanceConfirmedAt(confirmedAt)
 	}
 	if changed {
-		f.publish(now)
+		f.publish(now, confirmedAt)
 		f.options.Logger.Info().Str("source", r.source).Uint64("epoch", position.Epoch).Uint64("revision", position.Revision).
 			Uint64("version", f.Table().Version()).Int("changes", len(r.batch.Changes)).Msg("routing table updated")
 		f.logTargets(r.batch.Changes, previous)
@@ -321,7 +325,10 @@
 	}
 }
 
-func (f *Follower) publish(now time.Time) {
+// publish replaces the table. The new one was known to be current at confirmedAt, or at
+// no later time than the one before if that is zero. The table comes before its time: a
+// reader that takes the time first never judges by a table that is older than it.
+func (f *Follower) publish(now, confirmedAt time.Time) {
 	t := f.registrar.BuildTable(now)
 	f.recordEvacuations(t)
 	// The listeners come first, so that a target whose evacuation has ended is cold
@@ -330,6 +337,7 @@
 		listener(t)
 	}
 	f.table.Store(t)
+	f.advanceConfirmedAt(confirmedAt)
 	if f.registrar.HasConfig() {
 		select {
 		case <-f.ready:
@@ -343,7 +351,7 @@
 
 func (f *Follower) tick(ctx context.Context, now time.Time) {
 	if f.registrar.Expire(f.lastTick, now, f.options.IsInUse) {
-		f.publish(now)
+		f.publish(now, time.Time{})
 	}
 	f.lastTick = now
 	f.syncWithPeers(ctx, now)
--- a/internal/follower/restore_test.go
+++ b/internal/follower/restore_test.go
@@ -135,3 +135,25 @@
 		is.True(f.ConclusiveAge(time.Now()) < router.MaxConclusiveAge)
 	})
 }
+
+// TestTableBeforeConfirmation guards against a table that lacks a change and counts as
+// confirmed after it, while the table with the change is being built.
+func TestTableBeforeConfirmation(t *testing.T) {
+	p := newFakePlatform(1)
+	var confirmedAt time.Time
+	runFollower(t, p, nil, func(is *is.I, f *Follower) {
+		<-f.Ready()
+		f.Subscribe(func(t *router.Table) {
+			if t.Version() == 2 && confirmedAt.IsZero() {
+				confirmedAt = f.ConfirmedAt()
+			}
+		})
+		time.Sleep(1505 * time.Millisecond) // between two looks of the platform
+		writtenAt := time.Now()
+		p.version.Store(2)
+		time.Sleep(time.Second)
+		is.Equal(f.Table().Version(), uint64(2))
+		is.True(!confirmedAt.After(writtenAt))
+		is.True(f.ConfirmedAt().After(writtenAt))
+	})
+}
--- a/internal/forwarder/deferred.go
+++ b/internal/forwarder/deferred.go
@@ -33,8 +33,9 @@
 		case <-f.packetDeferred:
 		case <-timer.C:
 		}
-		now := time.Now()
-		released, isPending := f.deferrer.Tick(f.options.Table(), f.options.ConfirmedAt(), now)
+		// A table that is read before its time may lack what was published in between.
+		now, confirmedAt := time.Now(), f.options.ConfirmedAt()
+		released, isPending := f.deferrer.Tick(f.options.Table(), confirmedAt, now)
 		for _, r := range released {
 			if out.writer.IsFull() {
 				f.flush(out.writer)
