--- a/internal/tracker/queue.go
+++ b/internal/tracker/queue.go
@@ -98,6 +98,6 @@
 // leastServiceTime returns the lower end of the error of the mean service time, which
 // grows with time, or 0 if the mean is not known.
 func (q *serviceQueue) leastServiceTime(now time.Time) time.Duration {
-	error := serviceSpread / math.Sqrt(min(q.samplesAt(now), 1/serviceWeight))
-	return time.Duration(float64(q.serviceTime(now)) * math.Exp(-error))
+	deviation := serviceSpread / math.Sqrt(min(q.samplesAt(now), 1/serviceWeight))
+	return time.Duration(float64(q.serviceTime(now)) * math.Exp(-deviation))
 }
