--- a/review/flowstand/frozen.go
+++ b/review/flowstand/frozen.go
@@ -20,11 +20,11 @@
 	readyTime     = 60 * time.Millisecond
 	frozenService = "feeds"
 	frozenSlots   = 5
-	frozenWork    = 34 * time.Millisecond
+	frozenWork    = 5 * time.Millisecond
 	// listedTargets are there from the start.
 	listedTargets = 3
 	usualCallers  = 30
-	moreCallers   = 130
+	moreCallers   = 300
 	thinkTime     = 350 * time.Millisecond
 	// stopsBefore is the time from the planned stop of a balancer to the freeze, and
 	// callersArriveAt and callersArriveWithin tell when more callers come after it.
