--- a/review/flowstand/caller.go
+++ b/review/flowstand/caller.go
@@ -41,6 +41,8 @@
 	openingSequence uint32
 	isOpen          bool
 	openedAt        time.Time
+	// isClosing is set when the target has closed its side.
+	isClosing bool
 }
 
 // received is a packet with the address of the process that sent it.
@@ -174,6 +176,9 @@
 			case len(p.data) > 0 && p.sequence == f.ack && binary.BigEndian.Uint64(p.data) == id:
 				f.sequence += requestSize
 				f.ack += uint32(len(p.data))
+				if f.isClosing = p.has(flagFIN); f.isClosing {
+					f.ack++
+				}
 				f.send(flagACK, f.ack, nil)
 				f.host.fleet.record.write("request %d is answered", id)
 				return answered, netip.Addr{}
--- a/review/flowstand/fleet.go
+++ b/review/flowstand/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -30,6 +31,8 @@
 const (
 	roleBalancer = "balancer"
 	roleAgent    = "agent"
+	// roleOther is the role of a balancer of another zone.
+	roleOther = "other"
 )
 
 // nextCore counts the programs that were started.
@@ -84,9 +87,11 @@
 	lock         sync.Mutex
 	balancers    []*process
 	agents       []*process
-	runs         map[uint64]int
-	lastID       uint64
-	forged       int
+	// others are machines whose balancers serve the callers of other zones.
+	others []*process
+	runs   map[uint64]int
+	lastID uint64
+	forged int
 }
 
 func newFleet(o options, r *record) (*fleet, error) {
@@ -153,7 +158,11 @@
 	for key, value := range f.bounds {
 		values[key] = value
 	}
-	template, err := os.ReadFile(filepath.Join(f.options.root, "deploy", role+".yaml"))
+	file := role
+	if role == roleOther {
+		file = roleBalancer
+	}
+	template, err := os.ReadFile(filepath.Join(f.options.root, "deploy", file+".yaml"))
 	if err != nil {
 		return nil, err
 	}
@@ -164,9 +173,12 @@
 		return nil, err
 	}
 	f.lock.Lock()
-	if role == roleBalancer {
+	switch role {
+	case roleBalancer:
 		f.balancers = append(f.balancers, p)
-	} else {
+	case roleOther:
+		f.others = append(f.others, p)
+	default:
 		f.agents = append(f.agents, p)
 	}
 	f.lock.Unlock()
@@ -251,7 +263,7 @@
 func (f *fleet) processAt(address netip.Addr) *process {
 	f.lock.Lock()
 	defer f.lock.Unlock()
-	for _, p := range append(append([]*process{}, f.balancers...), f.agents...) {
+	for _, p := range slices.Concat(f.balancers, f.others, f.agents) {
 		if p.address == address {
 			return p
 		}
@@ -262,7 +274,7 @@
 // close ends all processes.
 func (f *fleet) close() {
 	f.lock.Lock()
-	all := append(append([]*process{}, f.balancers...), f.agents...)
+	all := slices.Concat(f.balancers, f.others, f.agents)
 	f.lock.Unlock()
 	for _, p := range all {
 		if p.command != nil {
--- a/review/flowstand/frozen.go
+++ b/review/flowstand/frozen.go
@@ -21,11 +21,20 @@
 	frozenService = "feeds"
 	frozenSlots   = 5
 	frozenWork    = 5 * time.Millisecond
-	// listedTargets are there from the start.
+	// listedTargets are there from the start. The service has as many as the smaller one
+	// of the site, and the larger one has otherTargets.
 	listedTargets = 3
-	usualCallers  = 30
-	moreCallers   = 300
-	thinkTime     = 350 * time.Millisecond
+	otherTargets  = 7
+	otherService  = "board"
+	// zoneBalancers take the packets of the callers' zone, otherBalancers those of others.
+	zoneBalancers  = 2
+	otherBalancers = 4
+	// drainsAt is the time from the freeze to the report of the replaced target that it
+	// drains. It serves on for longer than the run.
+	drainsAt     = 1600 * time.Millisecond
+	usualCallers = 30
+	moreCallers  = 300
+	thinkTime    = 350 * time.Millisecond
 	// stopsBefore is the time from the planned stop of a balancer to the freeze, and
 	// callersArriveAt and callersArriveWithin tell when more callers come after it.
 	stopsBefore         = 850 * time.Millisecond
@@ -87,6 +96,10 @@
 		result, sender := flow.request(c.fleet.nextID())
 		if result == answered {
 			c.countAnswer()
+			if flow.isClosing {
+				flow.close()
+				return
+			}
 			var isReset bool
 			if sender, isReset = flow.pause(thinkTime); isReset {
 				result = wasReset
@@ -140,20 +153,28 @@
 	}
 }
 
-// runFrozenAgent plays the freeze of one agent's machine, while a target is added and a
+// runFrozenAgent plays the freeze of one agent's machine, while a target is replaced and a
 // balancer is stopped and started as planned.
 func runFrozenAgent(f *fleet) (bool, error) {
 	published := netip.AddrPortFrom(f.addressOf(200), 443)
 	f.store.put(f.names.ConfigKey, fill(f.names.Config, config{
-		Version: 3, Routes: []route{{Name: "r-feeds", Host: published.Addr().String(), Port: 443, Kind: "safe", Service: frozenService}}, Services: []string{frozenService},
+		Version: 3, Routes: []route{{Name: "r-feeds", Host: published.Addr().String(), Port: 443, Kind: "safe", Service: frozenService}}, Services: []string{frozenService, otherService},
 	}))
-	for i := range 2 {
-		if _, err := f.newProcess(roleBalancer, fmt.Sprint("edge-", i+1), i+1, ""); err != nil {
+	for i := range zoneBalancers + otherBalancers {
+		role := roleBalancer
+		if i >= zoneBalancers {
+			role = roleOther
+		}
+		if _, err := f.newProcess(role, fmt.Sprint("edge-", i+1), i+1, ""); err != nil {
 			return false, err
 		}
 	}
-	for i := range listedTargets + 1 {
-		if _, err := f.newProcess(roleAgent, fmt.Sprint("side-", i+1), 11+i, frozenService); err != nil {
+	for i := range listedTargets + 1 + otherTargets {
+		service := frozenService
+		if i > listedTargets {
+			service = otherService
+		}
+		if _, err := f.newProcess(roleAgent, fmt.Sprint("side-", i+1), 11+i, service); err != nil {
 			return false, err
 		}
 	}
@@ -163,6 +184,13 @@
 			return false, err
 		}
 	}
+	for _, a := range f.agents[listedTargets+1:] {
+		t, err := f.startTarget(a, fmt.Sprintf("i-%08x", f.random.Uint32()), otherService, frozenSlots, frozenWork)
+		if err != nil {
+			return false, err
+		}
+		t.publish()
+	}
 	h, err := f.newHost(f.addressOf(100))
 	if err != nil {
 		return false, err
@@ -224,6 +252,7 @@
 	if err := <-failed; err != nil {
 		return false, err
 	}
+	time.AfterFunc(time.Until(freezeAt.Add(drainsAt)), c.targets[listedTargets-1].drain)
 	time.Sleep(readyTime)
 	for time.Since(freezeAt) < freezeTime-probeInterval {
 		f.probe()
--- a/review/flowstand/target.go
+++ b/review/flowstand/target.go
@@ -87,13 +87,13 @@
 	t.fleet.record.write("target %s publishes its entry as %s", t.id, t.state)
 }
 
-// crash ends a target with all of its flows.
-func (t *target) crash() {
+// drain reports the target as draining. It keeps its flows, and closes each one after its
+// next response.
+func (t *target) drain() {
 	t.lock.Lock()
-	t.isClosed = true
+	t.state = "draining"
 	t.lock.Unlock()
-	_ = t.conn.Close()
-	t.fleet.record.write("target %s crashes", t.id)
+	t.publish()
 }
 
 // holds reports whether a caller's flow is open at the target, and since when.
@@ -188,7 +188,7 @@
 func (t *target) handleRequest(f *serverFlow, p packet) {
 	switch {
 	case p.sequence != f.received && f.response != nil:
-		t.send(f, flagACK, f.responseSequence, f.response)
+		t.send(f, t.responseFlags(), f.responseSequence, f.response)
 		return
 	case p.sequence != f.received || f.isRunning:
 		return
@@ -227,10 +227,18 @@
 	f.response = binary.BigEndian.AppendUint64(make([]byte, 0, responseSize), id)[:responseSize]
 	f.responseSequence = f.sequence
 	f.sequence += responseSize
-	t.send(f, flagACK, f.responseSequence, f.response)
+	t.send(f, t.responseFlags(), f.responseSequence, f.response)
 	t.retransmit(f, f.responseSequence, firstRetransmit, 0)
 }
 
+// responseFlags returns the flags of a response. The caller holds the lock.
+func (t *target) responseFlags() byte {
+	if t.state == "draining" {
+		return flagACK | flagFIN
+	}
+	return flagACK
+}
+
 // retransmit sends a response again until it is acknowledged.
 func (t *target) retransmit(f *serverFlow, sequence uint32, after time.Duration, count int) {
 	time.AfterFunc(after, func() {
@@ -240,7 +248,7 @@
 		if !isHeld || f.response == nil || f.responseSequence != sequence || count == maxRetransmissions {
 			return
 		}
-		t.send(f, flagACK, f.responseSequence, f.response)
+		t.send(f, t.responseFlags(), f.responseSequence, f.response)
 		t.retransmit(f, sequence, min(2*after, longestRetransmit), count+1)
 	})
 }
